--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test check bench soak
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python scripts/demo.py tiszavolgyi
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+check: $(VENV)/.installed
+	$(BIN)/black --check --quiet src tests scripts bench
+	$(BIN)/ruff check src tests scripts bench
+	$(BIN)/mypy
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,246 @@
+"""Starts a whole system on loopback, tries it, kills some of it on the way and stops it.
+
+This script stands outside the package: the system's own processes start no others.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+COMMAND = [sys.executable, "-m", "apricotvale"]
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def address() -> str:
+    return f"127.0.0.1:{free_port()}"
+
+
+def toml_value(value: object) -> str:
+    if isinstance(value, dict):
+        inner = ", ".join(f'"{key}" = {toml_value(item)}' for key, item in value.items())
+        return "{ " + inner + " }"
+    return json.dumps(value)
+
+
+class System:
+    """The processes of one deployment."""
+
+    def __init__(self, example: str, folder: Path, control_replicas: int = 3) -> None:
+        self.example = ROOT / "examples" / example
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.arguments: dict[str, list[str]] = {}
+        self.replicas = {f"control-{at}": address() for at in range(1, control_replicas + 1)}
+        self.addresses: dict[str, str] = {}
+        self.audits: list[str] = []
+
+    @property
+    def control(self) -> str:
+        return ",".join(self.replicas.values())
+
+    def start(self, name: str, arguments: list[str]) -> None:
+        self.arguments[name] = arguments
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
+        self.processes[name] = subprocess.Popen(
+            COMMAND + arguments, stderr=log, stdout=log, env={**os.environ}
+        )
+
+    def settings(self, name: str, values: dict[str, object]) -> str:
+        path = self.folder / f"{name}.toml"
+        lines = [f"{key} = {toml_value(value)}" for key, value in values.items()]
+        path.write_text("\n".join(lines) + "\n")
+        return str(path)
+
+    def start_control(self) -> None:
+        for name, listen in self.replicas.items():
+            values = {
+                "name": name,
+                "site": "control",
+                "listen": listen,
+                "control": list(self.replicas.values()),
+                "replicas": self.replicas,
+                "data_folder": str(self.folder / f"{name}.data"),
+            }
+            self.start(name, ["control", self.settings(name, values)])
+
+    def start_member(self, kind: str, name: str, site: str, extra: dict[str, object]) -> None:
+        self.addresses[name] = address()
+        values = {
+            "name": name,
+            "site": site,
+            "listen": self.addresses[name],
+            "control": list(self.replicas.values()),
+            **extra,
+        }
+        self.start(name, [kind, self.settings(name, values)])
+
+    def start_engine(self, at: int, site: str, pool: str, models: list[str], store: str) -> None:
+        engine = address()
+        flags = [item for model in models for item in ("--model", model)]
+        checks = at % 2 == 0
+        flags += ["--checks-fencing"] if checks else []
+        self.start(
+            f"engine-{at}", ["standin", "engine", "--listen", engine, "--store", store, *flags]
+        )
+        upstream = {"address": engine, "pool": pool, "checks_fencing": checks}
+        self.start_member("sidecar", f"{pool}-{at}", site, {"upstream": upstream})
+
+    def start_service(self, kind: str, at: int, site: str, service: str) -> None:
+        listen = address()
+        self.start(f"{service}-standin-{at}", ["standin", kind, "--listen", listen])
+        if kind == "service":
+            self.audits.append(f"http://{listen}/runs")
+        upstream = {"address": listen, "service": service}
+        self.start_member("sidecar", f"{service}-{at}", site, {"upstream": upstream})
+
+    def run(self, *arguments: str, check: bool = True) -> subprocess.CompletedProcess:
+        return subprocess.run(COMMAND + list(arguments), check=check, text=True)
+
+    def wait_ready(self, names: list[str], timeout_s: float = 30.0) -> None:
+        deadline = time.monotonic() + timeout_s
+        for name in names:
+            while not self.is_ready(name):
+                if time.monotonic() > deadline:
+                    raise SystemExit(f"{name} is not ready; see {self.folder}/{name}.log")
+                time.sleep(0.05)
+
+    def is_ready(self, name: str) -> bool:
+        try:
+            url = f"http://{self.addresses[name]}/readyz"
+            with urllib.request.urlopen(url, timeout=1) as response:
+                return response.status == 200
+        except OSError:
+            return False
+
+    def kill(self, name: str) -> None:
+        self.processes[name].send_signal(signal.SIGKILL)
+        self.processes[name].wait()
+
+    def restart(self, name: str) -> None:
+        self.start(name, self.arguments[name])
+
+    def leader(self) -> str:
+        result = subprocess.run(
+            [*COMMAND, "status", "--json", "--control", self.control],
+            check=True,
+            capture_output=True,
+            text=True,
+        )
+        return json.loads(result.stdout)["leader"]
+
+    def stop(self) -> list[str]:
+        """Stop everything gracefully, callers' side first; return who did not stop well."""
+        bad = []
+        order = [name for name in self.processes if name.startswith("entry")]
+        order += [name for name in self.addresses if name not in order]
+        order += [name for name in self.processes if name not in order]
+        for name in order:
+            process = self.processes[name]
+            if process.poll() is None:
+                process.terminate()
+        for name in order:
+            process = self.processes[name]
+            try:
+                code = process.wait(timeout=25)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                code = process.wait()
+            if code not in (0, -signal.SIGKILL):
+                bad.append(f"{name} ended with {code}")
+        return bad
+
+
+def build(example: str, folder: Path) -> System:
+    system = System(example, folder)
+    system.start_control()
+    system.store = address()
+    system.start("store", ["standin", "weights", "--listen", system.store])
+    if example == "tiszavolgyi":
+        sites = ["szeged", "kecskemet", "bekescsaba", "szolnok"]
+        pool, models, service = "drafter", ["permit-drafter"], "permit-desk"
+        system.start_service("scorer", 1, sites[0], "draft-scorer")
+    else:
+        sites = ["gent-a", "gent-b", "gent-c"]
+        pool, models, service = "lm-pool", ["call-summary", "callback-script"], "queue-app"
+    for at in (1, 2, 3):
+        system.start_engine(at, sites[at % len(sites)], pool, models, system.store)
+    for at in (1, 2):
+        system.start_service("service", at, sites[at % len(sites)], service)
+    for at in (1, 2):
+        system.start_member("entry", f"entry-{at}", sites[at % len(sites)], {})
+    base = system.example / "base.toml"
+    overlays = [
+        item
+        for path in sorted(system.example.glob("overlays/*.toml"))
+        for item in ("--overlay", str(path))
+    ]
+    system.run("config", "apply", str(base), *overlays, "--control", system.control)
+    system.wait_ready(list(system.addresses))
+    system.pool = pool
+    return system
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("example", choices=["tiszavolgyi", "terugbel"], nargs="?")
+    parser.add_argument("--folder", type=Path)
+    parser.add_argument("--steps", type=int, default=6)
+    parser.add_argument("--no-kills", action="store_true")
+    options = parser.parse_args()
+    example = options.example or "tiszavolgyi"
+    folder = options.folder or Path(tempfile.mkdtemp(prefix="apricotvale-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    print(f"logs and state: {folder}")
+    started = time.monotonic()
+    system = build(example, folder)
+    print(f"the system is ready after {time.monotonic() - started:.1f} s")
+    report = folder / "report.json"
+    entries = [f"http://{system.addresses[name]}" for name in ("entry-1", "entry-2")]
+    arguments = [item for url in entries for item in ("--entry", url)]
+    arguments += [item for url in system.audits for item in ("--audit", url)]
+    arguments += ["--control", system.control, "--steps", str(options.steps)]
+    arguments += ["--drain", f"{system.pool}-3", "--json", str(report)]
+    trial = subprocess.Popen(COMMAND + ["try"] + arguments)
+    if not options.no_kills:
+        kill_some(system, trial)
+    code = trial.wait()
+    bad = system.stop()
+    for line in bad:
+        print(line)
+    print(f"finished after {time.monotonic() - started:.1f} s")
+    sys.exit(code or bool(bad))
+
+
+def kill_some(system: System, trial: subprocess.Popen) -> None:
+    """Kill an engine, an entry and the control leader, and restart each."""
+    for pick in (lambda: "engine-1", lambda: "entry-2", system.leader):
+        try:
+            trial.wait(timeout=3)
+            return
+        except subprocess.TimeoutExpired:
+            pass
+        name = pick()
+        print(f"killing {name}")
+        system.kill(name)
+        time.sleep(1.0)
+        system.restart(name)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/apricotvale/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m apricotvale` is the command."""
+
+from apricotvale.cli import main
+
+main()
--- /dev/null
+++ b/src/apricotvale/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: election, replication, snapshots and change of the replica group."""
--- /dev/null
+++ b/src/apricotvale/consensus/disk.py
@@ -0,0 +1,77 @@
+"""The data folder as real files, synced before each call returns."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+
+class FolderDisk:
+    """Files in one folder. Appends keep their file open; a replaced file is renamed into place."""
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self.folder = folder
+        self.open_name = ""
+        self.open_fd = -1
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's content, None if there is no such file."""
+        path = self.folder / name
+        return path.read_bytes() if path.exists() else None
+
+    def names(self) -> list[str]:
+        """Return the files' names, sorted, without unfinished ones."""
+        return sorted(entry.name for entry in self.folder.iterdir() if entry.suffix != ".new")
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write behind a file's end and sync it."""
+        if name != self.open_name:
+            self.close()
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self.open_fd = os.open(self.folder / name, flags, 0o644)
+            self.open_name = name
+            self.sync_folder()
+        view = memoryview(data)
+        while view:
+            view = view[os.write(self.open_fd, view) :]
+        os.fdatasync(self.open_fd)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Put a whole file in place atomically and sync it."""
+        self.close()
+        new = self.folder / f"{name}.new"
+        with open(new, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(new, self.folder / name)
+        self.sync_folder()
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file off and sync it."""
+        self.close()
+        with open(self.folder / name, "r+b") as file:
+            file.truncate(size)
+            os.fsync(file.fileno())
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        if name == self.open_name:
+            self.close()
+        (self.folder / name).unlink(missing_ok=True)
+
+    def sync_folder(self) -> None:
+        """Make new and renamed files in the folder last."""
+        fd = os.open(self.folder, os.O_RDONLY)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+
+    def close(self) -> None:
+        """Close the file kept open for appends."""
+        if self.open_fd >= 0:
+            os.close(self.open_fd)
+        self.open_fd = -1
+        self.open_name = ""
--- /dev/null
+++ b/src/apricotvale/consensus/log.py
@@ -0,0 +1,84 @@
+"""The replicated log as a replica holds it in memory."""
+
+from __future__ import annotations
+
+from apricotvale.consensus.messages import Entry, Group, Snapshot
+
+
+class Log:
+    """Entries after the last snapshot, and the group in force at the end of the log."""
+
+    def __init__(self, snapshot: Snapshot | None, entries: list[Entry]) -> None:
+        self.snapshot = snapshot or Snapshot(0, 0, 0, Group(), b"")
+        self.entries = list(entries)
+        self.start_index = self.entries[0].index - 1 if self.entries else self.snapshot.index
+        self.start_term = self.snapshot.term if self.start_index == self.snapshot.index else 0
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.entries[-1].index if self.entries else self.start_index
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.start_term
+
+    @property
+    def last_at_ms(self) -> int:
+        """Return the leader's clock at the last entry."""
+        return self.entries[-1].at_ms if self.entries else self.snapshot.at_ms
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of the entry at an index, None if it is not held."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        if index == self.start_index:
+            return self.start_term or None
+        if index < self.start_index or index > self.last_index:
+            return None
+        return self.entries[index - self.start_index - 1].term
+
+    def slice(self, first: int, last: int, max_bytes: int | None = None) -> list[Entry]:
+        """Return the entries from `first` to `last`, cut at `max_bytes` but never empty."""
+        chosen = self.entries[max(0, first - self.start_index - 1) : last - self.start_index]
+        if max_bytes is None:
+            return chosen
+        size = 0
+        for position, entry in enumerate(chosen):
+            size += len(entry.payload)
+            if size > max_bytes and position:
+                return chosen[:position]
+        return chosen
+
+    def append(self, entries: list[Entry]) -> None:
+        """Add entries behind the last one."""
+        self.entries.extend(entries)
+
+    def truncate(self, last: int) -> None:
+        """Drop every entry behind `last`."""
+        del self.entries[max(0, last - self.start_index) :]
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Take a newer snapshot and keep no more log behind it than the snapshot is long.
+
+        The kept entries let a replica that is a little behind catch up from the log, which then
+        costs fewer bytes than the snapshot would.
+        """
+        budget = len(snapshot.state)
+        keep_from = snapshot.index - self.start_index
+        while keep_from > 0 and budget >= len(self.entries[keep_from - 1].payload):
+            budget -= len(self.entries[keep_from - 1].payload) + 1
+            keep_from -= 1
+        first_kept = self.start_index + keep_from
+        self.start_term = self.term_at(first_kept) or 0
+        self.entries = self.entries[keep_from:]
+        self.start_index = first_kept
+        self.snapshot = snapshot
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Replace the whole log by a snapshot."""
+        self.snapshot = snapshot
+        self.entries = []
+        self.start_index = snapshot.index
+        self.start_term = snapshot.term
--- /dev/null
+++ b/src/apricotvale/consensus/storage.py
@@ -0,0 +1,246 @@
+"""Durable state of a replica: hard state, log segments and the snapshot, in one data folder.
+
+Records are framed by length and checksum. A torn record at the end of the last segment was never
+acknowledged and is cut off; damage anywhere else refuses the folder.
+"""
+
+from __future__ import annotations
+
+import struct
+import uuid
+import zlib
+from typing import Protocol
+
+from attrs import evolve, frozen
+
+from apricotvale.codec import decode, encode
+from apricotvale.consensus.messages import Entry, HardState, Snapshot
+from apricotvale.exceptions import DataFolderError, DataFormatError, DiskError, IdentityError
+
+FORMAT_VERSION = 1
+FRAME = struct.Struct("<II")
+META_FILE = "meta"
+SNAPSHOT_FILE = "snapshot"
+SEGMENT_PREFIX = "segment-"
+
+
+class Disk(Protocol):
+    """The file operations that storage needs; nothing lasts before it is synced."""
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's content, None if there is no such file."""
+
+    def names(self) -> list[str]:
+        """Return the files' names, sorted."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write behind a file's end and sync it."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Put a whole file in place atomically and sync it."""
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file off and sync it."""
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+
+
+@frozen
+class Meta:
+    """Identity of a data folder."""
+
+    format_version: int
+    name: str
+    data_id: str
+
+
+@frozen
+class EntriesRecord:
+    """Entries that replace everything from the first one's index on."""
+
+    entries: list[Entry]
+
+
+@frozen
+class TruncateRecord:
+    """Everything behind `last` is dropped."""
+
+    last: int
+
+
+@frozen
+class Stored:
+    """What a replica finds in its data folder at start."""
+
+    hard_state: HardState
+    snapshot: Snapshot | None
+    entries: list[Entry]
+
+    @property
+    def empty(self) -> bool:
+        """Return whether the replica has never been part of a group."""
+        return self.snapshot is None and not self.entries
+
+
+Record = HardState | EntriesRecord | TruncateRecord
+
+
+def frame(body: bytes) -> bytes:
+    """Return a record with its length and checksum in front."""
+    return FRAME.pack(len(body), zlib.crc32(body)) + body
+
+
+def unframe(data: bytes) -> tuple[list[bytes], int]:
+    """Return the whole records at the start of `data` and the offset where they end."""
+    bodies = []
+    offset = 0
+    while offset + FRAME.size <= len(data):
+        length, checksum = FRAME.unpack_from(data, offset)
+        body = data[offset + FRAME.size : offset + FRAME.size + length]
+        if len(body) < length or zlib.crc32(body) != checksum or not length:
+            break
+        bodies.append(body)
+        offset += FRAME.size + length
+    return bodies, offset
+
+
+class Storage:
+    """A replica's data folder. A failed write closes it for good: the replica must not vote."""
+
+    def __init__(self, disk: Disk, name: str) -> None:
+        self.disk = disk
+        self.failed: DiskError | None = None
+        self.meta = self.load_meta(name)
+        self.segment = 0
+        self.stored = self.load()
+
+    def load_meta(self, name: str) -> Meta:
+        """Read the folder's identity, or give an empty folder a new one."""
+        content = self.disk.read(META_FILE)
+        if content is None:
+            if self.disk.names():
+                raise DataFolderError("has log files but no identity file; restore or empty it")
+            meta = Meta(FORMAT_VERSION, name, uuid.uuid4().hex)
+            self.disk.replace(META_FILE, frame(encode(meta, Meta)))
+            return meta
+        bodies, _ = unframe(content)
+        if not bodies:
+            raise DataFolderError("the identity file is damaged; empty the folder to rejoin")
+        meta = decode(bodies[0], Meta)
+        if meta.format_version > FORMAT_VERSION:
+            raise DataFormatError(meta.format_version, FORMAT_VERSION)
+        if meta.name != name:
+            raise IdentityError(meta.name, name)
+        return meta
+
+    def load(self) -> Stored:
+        """Read the snapshot and replay the segments behind it."""
+        snapshot = self.load_snapshot()
+        hard_state = HardState()
+        entries: list[Entry] = []
+        segments = [name for name in self.disk.names() if name.startswith(SEGMENT_PREFIX)]
+        for name in segments:
+            for body in self.load_segment(name, name == segments[-1]):
+                record: Record = decode(body, Record)
+                if isinstance(record, HardState):
+                    hard_state = record
+                elif isinstance(record, TruncateRecord):
+                    entries = [entry for entry in entries if entry.index <= record.last]
+                else:
+                    entries = replay(entries, record.entries)
+            self.segment = int(name.removeprefix(SEGMENT_PREFIX))
+        check_contiguous(snapshot, entries)
+        return Stored(hard_state, snapshot, entries)
+
+    def load_snapshot(self) -> Snapshot | None:
+        """Read the snapshot file."""
+        content = self.disk.read(SNAPSHOT_FILE)
+        if content is None:
+            return None
+        bodies, end = unframe(content)
+        if len(bodies) != 1 or end != len(content):
+            raise DataFolderError("the snapshot file is damaged; empty the folder to rejoin")
+        return decode(bodies[0], Snapshot)
+
+    def load_segment(self, name: str, is_last: bool) -> list[bytes]:
+        """Read one segment; only the last may end in a torn record, which is cut off."""
+        data = self.disk.read(name) or b""
+        bodies, end = unframe(data)
+        if end == len(data):
+            return bodies
+        if not is_last or holds_record_after(data, end):
+            raise DataFolderError(f"{name} is damaged at byte {end}; empty the folder to rejoin")
+        self.disk.truncate(name, end)
+        return bodies
+
+    def append(self, records: list[Record]) -> None:
+        """Write records and sync them; many records cost one sync."""
+        if self.failed:
+            raise self.failed
+        data = b"".join(frame(encode(record, Record)) for record in records)
+        try:
+            self.disk.append(self.segment_name(), data)
+        except OSError as error:
+            raise self.fail(error) from error
+
+    def save_snapshot(self, snapshot: Snapshot, hard_state: HardState, kept: list[Entry]) -> None:
+        """Put a snapshot in place, then a new segment with the kept entries, then drop the old."""
+        if self.failed:
+            raise self.failed
+        records: list[Record] = [hard_state, TruncateRecord(0), EntriesRecord(kept)]
+        content = b"".join(frame(encode(record, Record)) for record in records)
+        try:
+            self.disk.replace(SNAPSHOT_FILE, frame(encode(snapshot, Snapshot)))
+            self.segment += 1
+            self.disk.replace(self.segment_name(), content)
+            for name in self.disk.names():
+                if name.startswith(SEGMENT_PREFIX) and name < self.segment_name():
+                    self.disk.remove(name)
+        except OSError as error:
+            raise self.fail(error) from error
+
+    def segment_name(self) -> str:
+        """Return the file name of the segment being written."""
+        return f"{SEGMENT_PREFIX}{self.segment:010d}"
+
+    def fail(self, error: OSError) -> DiskError:
+        """Remember that the disk failed; after a failed sync its content is unknown."""
+        self.failed = DiskError(str(error), error.errno or 0)
+        return self.failed
+
+
+def replay(entries: list[Entry], added: list[Entry]) -> list[Entry]:
+    """Return the log after a record of entries was written behind or over it."""
+    if not added:
+        return entries
+    first = added[0].index
+    if entries and first == entries[-1].index + 1:
+        entries.extend(added)
+        return entries
+    return [entry for entry in entries if entry.index < first] + list(added)
+
+
+def holds_record_after(data: bytes, offset: int) -> bool:
+    """Return whether a whole record stands somewhere behind a damaged one."""
+    for start in range(offset + 1, len(data) - FRAME.size):
+        length, checksum = FRAME.unpack_from(data, start)
+        body = data[start + FRAME.size : start + FRAME.size + length]
+        if length and len(body) == length and zlib.crc32(body) == checksum:
+            return True
+    return False
+
+
+def check_contiguous(snapshot: Snapshot | None, entries: list[Entry]) -> None:
+    """Refuse a log that has a gap, or that does not reach back to the snapshot."""
+    for before, after in zip(entries, entries[1:], strict=False):
+        if after.index != before.index + 1:
+            raise DataFolderError(f"the log has a gap behind entry {before.index}")
+    covered = snapshot.index if snapshot else 0
+    if entries and entries[0].index > covered + 1:
+        raise DataFolderError(f"the log starts at {entries[0].index}, the snapshot at {covered}")
+
+
+def with_term(hard_state: HardState, term: int) -> HardState:
+    """Return a hard state moved to a newer term, in which no vote was given."""
+    return evolve(hard_state, term=term, voted_for="")
--- /dev/null
+++ b/src/apricotvale/control/state.py
@@ -0,0 +1,156 @@
+"""The replicated state machine: it routes each committed command to the aggregate it concerns."""
+
+from __future__ import annotations
+
+from attrs import define, evolve, field
+
+from apricotvale.codec import decode, encode
+from apricotvale.consensus.messages import Entry, EntryKind
+from apricotvale.control import commands as c
+from apricotvale.control.configuration import ConfigState, Configuration
+from apricotvale.membership.roster import Roster, RosterState
+from apricotvale.requests.claims import Claims, ClaimsState
+from apricotvale.samples.ledger import Ledger, LedgerState
+from apricotvale.weights.rollout import Fence, Rollout, RolloutState
+
+
+@define
+class StateImage:
+    """Everything that a snapshot holds."""
+
+    config: ConfigState = field(factory=ConfigState)
+    roster: RosterState = field(factory=RosterState)
+    claims: ClaimsState = field(factory=ClaimsState)
+    ledger: LedgerState = field(factory=LedgerState)
+    rollout: RolloutState = field(factory=RolloutState)
+    clock_ms: int = 0
+
+
+class ControlState:
+    """The aggregates of one replica, changed by committed entries only."""
+
+    def __init__(self, image: StateImage | None = None) -> None:
+        self.load(image or StateImage())
+
+    def load(self, image: StateImage) -> None:
+        """Take the state from a snapshot's content."""
+        self.config = Configuration(image.config)
+        self.roster = Roster(image.roster)
+        self.claims = Claims(image.claims)
+        self.ledger = Ledger(image.ledger)
+        self.rollout = Rollout(image.rollout)
+        self.clock_ms = image.clock_ms
+
+    def dump(self) -> bytes:
+        """Return the state as a snapshot's content."""
+        image = StateImage(
+            self.config.state,
+            self.roster.state,
+            self.claims.state,
+            self.ledger.state,
+            self.rollout.state,
+            self.clock_ms,
+        )
+        return encode(image, StateImage)
+
+    def restore(self, content: bytes) -> None:
+        """Take the state from a snapshot; an empty one is the state before the first entry."""
+        self.load(decode(content, StateImage) if content else StateImage())
+
+    def apply(self, entry: Entry) -> c.Result | None:
+        """Apply a committed entry; return the command's result."""
+        self.clock_ms = max(self.clock_ms, entry.at_ms)
+        if entry.kind is not EntryKind.COMMAND:
+            return None
+        command = decode(entry.payload, c.Command)
+        return self.execute(command, entry)
+
+    def execute(self, command: c.Command, entry: Entry) -> c.Result:
+        """Carry out a command."""
+        match command:
+            case c.ApplyConfig():
+                return self.config.apply(
+                    command.operation_id,
+                    command.expected_revision,
+                    command.document,
+                    command.author,
+                    self.clock_ms,
+                )
+            case c.Announce() | c.Depart():
+                return self.change_roster(command, entry)
+            case c.MakeClaim() | c.LookUpClaim() | c.ReassignClaim() | c.RecordOutcomes():
+                return self.change_claims(command)
+            case c.GrantLoads() | c.ReportFailures() | c.Expire():
+                return self.change_rollout(command, entry)
+            case c.Publish():
+                self.rollout.set_target(command.model, command.version)
+                return c.Published(self.ledger.publish(command.trainer, command.version))
+            case _:
+                return self.change_ledger(command)
+
+    def change_roster(self, command: c.Announce | c.Depart, entry: Entry) -> c.Result:
+        """Carry out a command of the roster."""
+        changed = False
+        if isinstance(command, c.Announce):
+            for member in command.members:
+                changed |= self.roster.announce(member, entry.index)
+                self.rollout.note_models(member)
+            return c.Done(changed)
+        for gone in command.departures:
+            if self.roster.depart(gone.name, gone.incarnation, entry.index):
+                self.rollout.forget(gone.name)
+                changed = True
+        return c.Done(changed)
+
+    def change_claims(
+        self, command: c.MakeClaim | c.LookUpClaim | c.ReassignClaim | c.RecordOutcomes
+    ) -> c.Result:
+        """Carry out a command of the claims."""
+        if isinstance(command, c.MakeClaim):
+            return self.claims.claim(command.claim, command.limit, command.window_ms, self.clock_ms)
+        if isinstance(command, c.LookUpClaim):
+            found = self.claims.look_up(command.key, command.digest)
+            return found or c.NoSuchClaim(command.key)
+        if isinstance(command, c.RecordOutcomes):
+            self.claims.record(command.records)
+            return c.Done()
+        moved = self.claims.reassign(
+            command.key,
+            command.attempt,
+            command.upstream,
+            command.incarnation,
+            command.claimant,
+        )
+        return moved or c.NoSuchClaim(command.key)
+
+    def change_rollout(
+        self, command: c.GrantLoads | c.ReportFailures | c.Expire, entry: Entry
+    ) -> c.Result:
+        """Carry out a command of the rollout."""
+        if isinstance(command, c.GrantLoads):
+            fence = Fence(entry.term, entry.index)
+            return c.Done(bool(self.rollout.grant(command.requests, fence, self.clock_ms)))
+        if isinstance(command, c.Expire):
+            overdue = self.rollout.expire(command.retry_ms, self.clock_ms)
+            return c.Done(bool(self.ledger.expire(self.clock_ms)) or bool(overdue))
+        changed = False
+        for failure in command.failures:
+            changed |= self.rollout.note_failure(failure, command.retry_ms, self.clock_ms)
+        return c.Done(changed)
+
+    def change_ledger(self, command: c.Command) -> c.Result:
+        """Carry out a command of the ledger."""
+        ledger = self.ledger
+        match command:
+            case c.OpenStep(spec, owner, incarnation, window_ms):
+                until_ms = self.clock_ms + window_ms
+                return ledger.open_step(evolve(spec, expires_at_ms=until_ms), owner, incarnation)
+            case c.AdoptStep(trainer, step, expected, owner, incarnation):
+                return c.Done(ledger.adopt(trainer, step, expected, owner, incarnation))
+            case c.FillSlots(trainer, step, fills):
+                return ledger.fill(trainer, step, fills)
+            case c.HandOver(trainer, step, cursor, pull, most, lost):
+                return ledger.hand(trainer, step, cursor, pull, most, lost)
+            case c.CloseStep(trainer, step):
+                return c.Done(ledger.close(trainer, step))
+        raise TypeError(type(command))
--- /dev/null
+++ b/src/apricotvale/daemons/claiming.py
@@ -0,0 +1,185 @@
+"""Non-idempotent requests: claim by quorum, send once, and answer resends from the record."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, evolve
+
+from apricotvale import events
+from apricotvale.control import commands as c
+from apricotvale.daemons import headers as h
+from apricotvale.daemons.dispatch import Dispatcher
+from apricotvale.daemons.link import ControlClient
+from apricotvale.daemons.upstreams import Answer, Outbound
+from apricotvale.hashing import digest
+from apricotvale.membership.roster import Member
+from apricotvale.outcomes import RETRY_AFTER_S, Ran, Reason, Refusal, not_run, unknown
+from apricotvale.requests.claims import (
+    Claim,
+    ClaimGranted,
+    ClaimHeld,
+    ClaimPhase,
+    ClaimsFull,
+    KeyReused,
+    OutcomeRecord,
+)
+from apricotvale.requests.routing import Choice
+
+MAX_ATTEMPTS = 8
+CLAIM_S = 5.0
+RESOLVE_PATH = "/claims/resolve"
+
+
+def digest_of(request: Outbound) -> str:
+    """Return a digest of what a request asks."""
+    method = request.headers.get("X-Method", "")
+    head = f"{method} {request.path}\n".encode()
+    return digest(head + request.body)
+
+
+@define
+class Claimant:
+    """Runs non-idempotent requests of one entry."""
+
+    control: ControlClient
+    dispatcher: Dispatcher
+    entry: str
+
+    async def run(
+        self,
+        key: str,
+        request: Outbound,
+        candidates: Callable[[], list[Member]],
+        limit: int,
+        window_ms: int,
+    ) -> Answer | Refusal:
+        """Run a request at most once, however often its key is sent.
+
+        :param key: the caller's idempotency key, within its service.
+        :param request: the request.
+        :param candidates: returns the eligible members at the moment.
+        :param limit: keys remembered at most.
+        :param window_ms: time for which the key is remembered.
+        """
+        choice = self.dispatcher.choose(candidates(), request, "", set())
+        if isinstance(choice, Refusal):
+            return await self.replay_only(key, request, choice, candidates)
+        claim = Claim(
+            key=key,
+            digest=digest_of(request),
+            upstream=choice.member.name,
+            incarnation=choice.member.incarnation,
+            attempt=1,
+            claimant=f"{self.entry}/{uuid.uuid4().hex}",
+        )
+        result = await self.propose(c.MakeClaim(claim, limit, window_ms), request)
+        if isinstance(result, KeyReused):
+            return not_run(Reason.KEY_REUSED, "the key was used for another request")
+        if isinstance(result, ClaimsFull):
+            return not_run(Reason.KEYS_FULL, retry_after_s=RETRY_AFTER_S)
+        return await self.follow(result, request, candidates)
+
+    async def replay_only(
+        self,
+        key: str,
+        request: Outbound,
+        refusal: Refusal,
+        candidates: Callable[[], list[Member]],
+    ) -> Answer | Refusal:
+        """Answer for want of an upstream: by the record if the key was claimed, else refuse."""
+        result = await self.propose(c.LookUpClaim(key, digest_of(request)), request)
+        if isinstance(result, ClaimHeld):
+            return await self.follow(result, request, candidates)
+        if isinstance(result, Refusal):
+            return unknown(Reason.NO_QUORUM, "neither an upstream nor control answers")
+        return refusal
+
+    async def propose(self, command: Any, request: Outbound) -> Any:
+        """Commit a command of the claim within the request's deadline."""
+        deadline = min(request.deadline, time.monotonic() + CLAIM_S)
+        return await self.control.propose(command, deadline)
+
+    async def follow(
+        self, result: Any, request: Outbound, candidates: Callable[[], list[Member]]
+    ) -> Answer | Refusal:
+        """Send a granted claim, resolve a held one, and move on after true refusals."""
+        tried: set[str] = set()
+        for _ in range(MAX_ATTEMPTS):
+            if isinstance(result, ClaimGranted):
+                answer = await self.send(result.claim, request)
+            elif isinstance(result, ClaimHeld):
+                answer = await self.resolve(result.claim, request)
+            elif isinstance(result, Refusal):
+                return result
+            else:
+                return unknown(Reason.OUTCOME_UNKNOWN, "the key's window has passed")
+            if isinstance(answer, Answer) or answer.ran is not Ran.NOT_RUN:
+                return answer
+            if time.monotonic() >= request.deadline or answer.reason is Reason.DEADLINE_EXPIRED:
+                return answer
+            tried.add(result.claim.incarnation)
+            choice = self.dispatcher.choose(candidates(), request, "", tried)
+            if isinstance(choice, Refusal):
+                return answer
+            result = await self.reassign(result.claim, choice, request)
+        return unknown(Reason.OUTCOME_UNKNOWN, "the claim moved too often")
+
+    async def reassign(self, claim: Claim, choice: Choice, request: Outbound) -> Any:
+        """Move a claim that was truly refused."""
+        command = c.ReassignClaim(
+            claim.key,
+            claim.attempt,
+            choice.member.name,
+            choice.member.incarnation,
+            f"{self.entry}/{uuid.uuid4().hex}",
+        )
+        return await self.propose(command, request)
+
+    async def send(self, claim: Claim, request: Outbound) -> Answer | Refusal:
+        """Send a granted claim to its upstream."""
+        events.emit(
+            events.CLAIM_GRANTED,
+            request=request.request_id,
+            key=claim.key,
+            attempt=claim.attempt,
+            upstream=claim.upstream,
+        )
+        member = self.dispatcher.view.members.get(claim.upstream)
+        if member is None or member.incarnation != claim.incarnation:
+            return not_run(Reason.NO_UPSTREAM, "the upstream left before the request was sent")
+        tagged = evolve(request, headers={**request.headers, h.TOKEN: claim.token})
+        answer = await self.dispatcher.upstreams.send(member, tagged)
+        if not isinstance(answer, Refusal):
+            return answer  # type: ignore[return-value]
+        self.dispatcher.learn(member, answer)
+        return answer
+
+    async def resolve(self, claim: Claim, request: Outbound) -> Answer | Refusal:
+        """Learn what became of a claim that was made before."""
+        if claim.phase is ClaimPhase.DONE and claim.outcome is not None:
+            events.emit(events.CLAIM_REPLAYED, request=request.request_id, key=claim.key)
+            outcome = claim.outcome
+            return Answer(outcome.status, outcome.content_type, outcome.body)
+        if claim.phase is ClaimPhase.UNKNOWN:
+            return unknown(Reason.OUTCOME_UNKNOWN, "the outcome was lost; it is not run again")
+        member = self.dispatcher.view.members.get(claim.upstream)
+        if member is None or member.incarnation != claim.incarnation:
+            record = OutcomeRecord(claim.key, claim.attempt, None)
+            await self.propose(c.RecordOutcomes([record]), request)
+            return unknown(Reason.OUTCOME_UNKNOWN, "the upstream is gone; it is not run again")
+        events.emit(
+            events.CLAIM_RESOLVED,
+            request=request.request_id,
+            key=claim.key,
+            upstream=claim.upstream,
+        )
+        fields = {h.TOKEN: claim.token, h.INCARNATION: claim.incarnation}
+        question = evolve(request, path=RESOLVE_PATH, body=b"", headers=fields)
+        answer = await self.dispatcher.upstreams.send(member, question)
+        if isinstance(answer, Refusal) and answer.reason is not Reason.TOMBSTONED:
+            return unknown(Reason.OUTCOME_UNKNOWN, answer.reason.value)
+        return answer  # type: ignore[return-value]
--- /dev/null
+++ b/src/apricotvale/daemons/control.py
@@ -0,0 +1,401 @@
+"""The control daemon: it answers calls and, while it leads, tends leases and the rollout."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+from typing import Any
+
+from aiohttp import web
+from attrs import define
+
+from apricotvale import events, metrics
+from apricotvale.codec import encode
+from apricotvale.consensus.disk import FolderDisk
+from apricotvale.consensus.node import NotLeader, Timing
+from apricotvale.consensus.storage import Storage
+from apricotvale.control import calls, reports
+from apricotvale.control import commands as c
+from apricotvale.control.configuration import ConfigApplied, ConfigConflict
+from apricotvale.daemons.replica import LostLeadership, Replica
+from apricotvale.daemons.rpc import ControlService, make_server
+from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes
+from apricotvale.exceptions import SettingsError
+from apricotvale.hashing import hash64
+from apricotvale.membership.roster import Departure, Kind, Member
+from apricotvale.settings import Deployment, ProcessSettings, check_deployment
+from apricotvale.weights.rollout import RolloutPolicy, plan_grants
+
+DUTY_S = 0.1
+DEFAULT_LEASE_MS = 3_000
+DEFAULT_RETRY_MS = 1_000
+TRANSFER_WAIT_S = 1.0
+
+
+@define
+class Contact:
+    """When a member was last heard, and the revision in force there."""
+
+    incarnation: str
+    heard_at: float
+    in_force: int
+
+
+class ControlDaemon:
+    """One control replica as a process."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self.settings = settings
+        self.metrics = metrics.Metrics(settings.statsd, settings.name)
+        replicas = settings.replicas or {settings.name: settings.listen}
+        storage = Storage(FolderDisk(Path(settings.data_folder)), settings.name)
+        self.replica = Replica(settings.name, replicas, storage, Timing(), self.on_applied)
+        self.contacts: dict[str, Contact] = {}
+        self.led_term = 0
+        self.changed = asyncio.Event()
+        self.deployment: Deployment | None = None
+        self.deployment_revision = -1
+        self.stopping = False
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until told to stop, then hand leadership over and leave."""
+        server = make_server(ControlService(self.on_call, self.replica.take_batch))
+        host, _, port = self.settings.listen.rpartition(":")
+        await server.start(host, int(port))
+        async with TaskGroup() as tasks:
+            replica_task = tasks.start(self.replica.run())
+            tasks.start(self.duties())
+            if self.settings.health:
+                app = web.Application()
+                app.add_routes(health_routes(self.is_ready))
+                await HttpServer(app, self.settings.health).__aenter__()
+            events.emit(events.STARTED, listen=self.settings.listen)
+            stopped = asyncio.create_task(stop.wait())
+            await asyncio.wait({stopped, replica_task}, return_when=asyncio.FIRST_COMPLETED)
+            stopped.cancel()
+            events.emit(events.STOPPING)
+            await self.hand_over()
+            server.close()
+            self.changed.set()
+        events.emit(events.STOPPED)
+
+    def is_ready(self) -> bool:
+        """Return whether the replica follows or leads a group and its disk works."""
+        node = self.replica.node
+        return self.replica.storage.failed is None and bool(node.leader_id) and node.is_voter
+
+    async def hand_over(self) -> None:
+        """Ask a peer to take the lead and wait until it has."""
+        self.stopping = True
+        deadline = time.monotonic() + TRANSFER_WAIT_S
+        while self.replica.leads and time.monotonic() < deadline:
+            if len(self.replica.replicas) == 1:
+                return
+            await self.replica.transfer()
+            await asyncio.sleep(0.05)
+
+    # -- calls
+
+    async def on_call(self, request: Any) -> Any:
+        """Answer one call."""
+        if isinstance(request, calls.JoinProbe):
+            return self.replica.probe(request)
+        if not self.replica.leads:
+            return calls.Redirect(self.replica.leader_address())
+        if isinstance(request, calls.Sync):
+            return await self.on_sync(request)
+        if isinstance(request, calls.Propose):
+            return await self.on_propose(request.command)
+        return await self.on_query(request)
+
+    async def on_propose(self, command: Any) -> Any:
+        """Check and commit a command."""
+        if isinstance(command, c.ApplyConfig):
+            try:
+                check_deployment(command.document.base, command.document.overlays)
+            except SettingsError as error:
+                return calls.Invalid([problem.describe() for problem in error.problems])
+        reply = await self.commit(command)
+        if isinstance(command, c.ApplyConfig) and isinstance(reply, calls.Committed):
+            self.log_config(command, reply.result)
+        if isinstance(command, c.Publish) and isinstance(reply, calls.Committed):
+            events.emit(
+                events.WEIGHTS_PUBLISHED,
+                trainer=command.trainer,
+                model=command.model,
+                version=command.version,
+            )
+        return reply
+
+    async def commit(self, command: Any) -> calls.CallReply:
+        """Commit a command."""
+        result = await self.replica.propose(encode(command, c.Command))
+        self.metrics.count(metrics.COMMITS)
+        if isinstance(result, NotLeader):
+            return calls.Redirect(self.replica.leader_address())
+        if isinstance(result, LostLeadership):
+            return calls.Unconfirmed("leadership moved")
+        return calls.Committed(result)
+
+    def log_config(self, command: c.ApplyConfig, result: Any) -> None:
+        """Log what became of a configuration change."""
+        if isinstance(result, ConfigApplied):
+            events.emit(
+                events.CONFIG_ACCEPTED,
+                revision=result.revision,
+                operation=command.operation_id,
+                author=command.author,
+            )
+        elif isinstance(result, ConfigConflict):
+            events.emit(
+                events.CONFIG_REJECTED,
+                operation=command.operation_id,
+                expected=command.expected_revision,
+                revision=result.revision,
+                winner=result.operation_id,
+            )
+
+    async def on_query(self, query: calls.Query) -> Any:
+        """Answer a read that a quorum confirmed."""
+        if not await self.replica.confirm():
+            return calls.Redirect(self.replica.leader_address())
+        report = reports.report(self.replica, query.topic)
+        if query.topic == "force":
+            return reports.with_force(report, self.force(), self.lease_ms())
+        return report
+
+    def force(self) -> list[calls.MemberForce]:
+        """Return the revision in force at each member."""
+        now = time.monotonic()
+        found = []
+        for member in self.replica.state.roster.state.members.values():
+            contact = self.contacts.get(member.name)
+            revision = contact.in_force if contact else 0
+            age_ms = int((now - contact.heard_at) * 1000) if contact else -1
+            found.append(calls.MemberForce(member.name, member.site, revision, age_ms))
+        return found
+
+    # -- syncs
+
+    async def on_sync(self, sync: calls.Sync) -> Any:
+        """Renew a lease, commit what the member states, answer with what changed."""
+        if sync.confirm and not await self.replica.confirm():
+            return calls.Redirect(self.replica.leader_address())
+        for command in self.statements(sync):
+            reply = await self.commit(command)
+            if not isinstance(reply, calls.Committed):
+                return reply
+        member = sync.member
+        if sync.leaving:
+            self.contacts.pop(member.name, None)
+        else:
+            contact = Contact(member.incarnation, time.monotonic(), sync.in_force)
+            self.contacts[member.name] = contact
+            await self.wait_for_news(sync)
+        if not self.replica.leads:
+            return calls.Redirect(self.replica.leader_address())
+        return self.sync_reply(sync)
+
+    def statements(self, sync: calls.Sync) -> list[Any]:
+        """Return the commands that a member's sync calls for."""
+        member = sync.member
+        found: list[Any] = []
+        if sync.outcomes:
+            found.append(c.RecordOutcomes(sync.outcomes))
+        if sync.failures:
+            for failure in sync.failures:
+                events.emit(events.SWAP_FAILED, upstream=failure.upstream, detail=failure.detail)
+            retry_ms = self.deployment.weights.retry_ms if self.deployment else DEFAULT_RETRY_MS
+            found.append(c.ReportFailures(sync.failures, retry_ms))
+        held = self.replica.state.roster.state.members.get(member.name)
+        if sync.leaving:
+            found.append(c.Depart([Departure(member.name, member.incarnation)]))
+            events.emit(events.MEMBER_LEFT, member=member.name, why="leaving")
+        elif held != member:
+            if held is None or held.incarnation != member.incarnation:
+                events.emit(
+                    events.MEMBER_JOINED, member=member.name, incarnation=member.incarnation
+                )
+            elif held.models != member.models:
+                events.emit(events.SWAP_DONE, upstream=member.name, models=member.models)
+            found.append(c.Announce([member]))
+        return found
+
+    async def wait_for_news(self, sync: calls.Sync) -> None:
+        """Return when something changed for the member, or after its waiting time."""
+        deadline = time.monotonic() + sync.wait_ms / 1000
+        while self.interest(sync.member) == sync.seen and not self.stopping:
+            remaining = deadline - time.monotonic()
+            if remaining <= 0:
+                return
+            try:
+                await asyncio.wait_for(self.changed.wait(), remaining)
+            except TimeoutError:
+                return
+
+    def interest(self, member: Member) -> int:
+        """Return a digest of all that concerns a member; it changes when the member has news."""
+        state = self.replica.state
+        parts: list[Any] = [state.config.state.revision]
+        if member.kind is Kind.ENTRY:
+            parts.append(state.roster.state.position)
+            parts += [(s.trainer, s.step, s.reopened, s.version) for s in self.steps_of(member)]
+            parts += sorted((n, t.version) for n, t in state.ledger.state.trainers.items())
+        else:
+            parts.append(state.rollout.state.grants.get(member.name))
+        return hash64(repr(parts)) >> 1
+
+    def steps_of(self, member: Member, known: list[str] | None = None) -> list[calls.StepOwnership]:
+        """Return the steps that an entry owns."""
+        found = []
+        ledger = self.replica.state.ledger
+        for name, trainer in ledger.state.trainers.items():
+            for key, step in trainer.steps.items():
+                if step.owner_incarnation != member.incarnation:
+                    continue
+                is_new = known is not None and f"{name}/{key}" not in known
+                found.append(
+                    calls.StepOwnership(
+                        name,
+                        int(key),
+                        ledger.open_slots(step) if known is not None else [],
+                        step.reopened,
+                        trainer.version,
+                        step.spec if is_new else None,
+                    )
+                )
+        return found
+
+    def sync_reply(self, sync: calls.Sync) -> calls.SyncReply:
+        """Return what a member does not know yet."""
+        state = self.replica.state
+        member = sync.member
+        is_entry = member.kind is Kind.ENTRY
+        config = state.config.state
+        is_behind = sync.revision < config.revision
+        held = state.rollout.state.grants.get(member.name)
+        mine = held is not None and held.incarnation == member.incarnation
+        empty = calls.RosterDelta(state.roster.state.position)
+        return calls.SyncReply(
+            roster=state.roster.delta(sync.position) if is_entry else empty,
+            leader=self.settings.name,
+            revision=config.revision if is_behind else 0,
+            document=config.document if is_behind else None,
+            grants=[held] if held is not None and mine else [],
+            fence=state.rollout.state.fence,
+            targets=dict(state.rollout.state.targets),
+            steps=self.steps_of(member, sync.known_steps) if is_entry else [],
+            interest=self.interest(member),
+            confirmed=True,
+        )
+
+    def on_applied(self) -> None:
+        """Wake the syncs that wait for news."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    # -- duties of the leader
+
+    async def duties(self) -> None:
+        """While leading: end silent leases, plan loads, adopt steps, drop what is overdue."""
+        while True:
+            await asyncio.sleep(DUTY_S)
+            if not self.replica.leads:
+                self.led_term = 0
+                continue
+            self.read_config()
+            self.start_term()
+            for command in self.due_commands(time.monotonic()):
+                await self.commit(command)
+
+    def start_term(self) -> None:
+        """On taking the lead, give every member a whole lease from now."""
+        if self.led_term == self.replica.node.term:
+            return
+        self.led_term = self.replica.node.term
+        now = time.monotonic()
+        for member in self.replica.state.roster.state.members.values():
+            self.contacts[member.name] = Contact(member.incarnation, now, 0)
+
+    def read_config(self) -> None:
+        """Parse the deployment when its revision changed."""
+        config = self.replica.state.config.state
+        if config.revision != self.deployment_revision and config.document is not None:
+            views = check_deployment(config.document.base, config.document.overlays)
+            self.deployment = next(iter(views.values()))
+            self.deployment_revision = config.revision
+
+    def lease_ms(self) -> int:
+        """Return the lease of a member."""
+        return self.deployment.control.lease_ms if self.deployment else DEFAULT_LEASE_MS
+
+    def due_commands(self, now: float) -> list[Any]:
+        """Return the commands that the leader's duties call for."""
+        state = self.replica.state
+        found: list[Any] = []
+        silent = self.silent_members(now)
+        if silent:
+            found.append(c.Depart(silent))
+        found += self.adoptions()
+        now_ms = int(time.time() * 1000)
+        weights = self.deployment.weights if self.deployment else None
+        retry_ms = weights.retry_ms if weights else DEFAULT_RETRY_MS
+        if self.is_overdue(now_ms):
+            found.append(c.Expire(retry_ms))
+        if self.deployment and weights:
+            for name, pool in self.deployment.pools.items():
+                policy = RolloutPolicy(
+                    name,
+                    tuple(pool.models),
+                    weights.floor_percent,
+                    weights.loads_at_once,
+                    weights.load_timeout_ms,
+                )
+                members = list(state.roster.state.members.values())
+                requests = plan_grants(state.rollout.state, members, policy, now_ms)
+                if requests:
+                    names = [request.upstream for request in requests]
+                    events.emit(events.SWAP_GRANTED, pool=name, upstreams=names)
+                    found.append(c.GrantLoads(requests))
+        return found
+
+    def is_overdue(self, now_ms: int) -> bool:
+        """Return whether a grant or a step has passed its deadline."""
+        state = self.replica.state
+        grants = state.rollout.state.grants.values()
+        trainers = state.ledger.state.trainers.values()
+        return any(grant.deadline_ms <= now_ms for grant in grants) or any(
+            step.spec.expires_at_ms <= now_ms
+            for trainer in trainers
+            for step in trainer.steps.values()
+        )
+
+    def silent_members(self, now: float) -> list[Departure]:
+        """Return the members whose lease has run out."""
+        lease_s = self.lease_ms() / 1000
+        found = []
+        for member in self.replica.state.roster.state.members.values():
+            contact = self.contacts.get(member.name)
+            if contact is None:
+                self.contacts[member.name] = Contact(member.incarnation, now, 0)
+            elif contact.heard_at + lease_s < now:
+                found.append(Departure(member.name, member.incarnation))
+                events.emit(events.MEMBER_LEFT, member=member.name, why="lease ran out")
+        return found
+
+    def adoptions(self) -> list[c.AdoptStep]:
+        """Return the commands that give orphaned steps to live entries."""
+        state = self.replica.state
+        members = state.roster.state.members
+        entries = [member for member in members.values() if member.kind is Kind.ENTRY]
+        found = []
+        for name, trainer in state.ledger.state.trainers.items():
+            for key, step in trainer.steps.items():
+                if state.roster.is_alive(step.owner, step.owner_incarnation) or not entries:
+                    continue
+                heir = max(entries, key=lambda m: hash64(f"{name}/{key}/{m.name}"))
+                events.emit(events.STEP_ADOPTED, trainer=name, step=int(key), owner=heir.name)
+                old = step.owner_incarnation
+                found.append(c.AdoptStep(name, int(key), old, heir.name, heir.incarnation))
+        return found
--- /dev/null
+++ b/src/apricotvale/daemons/dispatch.py
@@ -0,0 +1,183 @@
+"""Sending a request to one upstream after another, within its deadline and the retry budget."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field, frozen
+
+from apricotvale import events, metrics
+from apricotvale.daemons.upstreams import Answer, OpenStream, Outbound, Upstreams
+from apricotvale.membership.roster import Member, RosterView
+from apricotvale.outcomes import Ran, Reason, Refusal
+from apricotvale.requests.retries import RetryBudget
+from apricotvale.requests.routing import Choice, Router
+from apricotvale.settings.schema import TrafficClass
+
+BACKGROUND_TRIES = 4
+BACKOFF_S = 0.1
+HOPELESS = (Reason.DEADLINE_EXPIRED, Reason.BAD_REQUEST, Reason.KEY_REUSED)
+
+
+@frozen
+class Sent:
+    """An answer and the member that gave it."""
+
+    member: Member
+    answer: Answer | OpenStream
+
+
+@define
+class Dispatcher:
+    """Routes and retries requests of one entry."""
+
+    view: RosterView
+    router: Router
+    upstreams: Upstreams
+    budget: RetryBudget
+    metrics: metrics.Metrics
+    on_old_revision: Callable[[], None] = field(default=lambda: None)
+
+    def choose(
+        self, candidates: list[Member], request: Outbound, affinity: str, tried: set[str]
+    ) -> Choice | Refusal:
+        """Choose an upstream and log the decision."""
+        choice = self.router.choose(candidates, time.monotonic(), affinity, tried)
+        if isinstance(choice, Choice):
+            events.emit(
+                events.ROUTED,
+                request=request.request_id,
+                upstream=choice.member.name,
+                why=choice.why,
+                candidates=choice.candidates,
+                costs={item.name: item.cost for item in choice.considered},
+            )
+        return choice
+
+    async def send(
+        self,
+        candidates: Callable[[], list[Member]],
+        request: Outbound,
+        repeatable: bool,
+        affinity: str = "",
+        hedge_after_s: float = 0.0,
+    ) -> Sent | Refusal:
+        """Send a request until it is answered or given up.
+
+        :param candidates: returns the eligible members at the moment.
+        :param repeatable: whether it may be sent again after an unknown outcome.
+        :param affinity: what the request shares with others.
+        :param hedge_after_s: send a second copy after this time; 0 is never.
+        """
+        self.budget.earn(time.monotonic())
+        self.metrics.count(metrics.REQUESTS)
+        tried: set[str] = set()
+        last: Refusal | None = None
+        for attempt in range(1, len(self.view.members) + BACKGROUND_TRIES):
+            choice = self.choose(candidates(), request, affinity, tried)
+            if isinstance(choice, Refusal):
+                if not await self.may_wait(request, attempt, tried):
+                    return last or choice
+                last = last or choice
+                tried.clear()
+                continue
+            tried.add(choice.member.incarnation)
+            result = await self.send_hedged(
+                choice.member, candidates, request, hedge_after_s, tried
+            )
+            if isinstance(result, Sent):
+                return result
+            last = result
+            self.learn(choice.member, result)
+            if not self.may_retry(request, result, repeatable):
+                return result
+        return last or Refusal(Reason.NO_UPSTREAM, Ran.NOT_RUN)
+
+    async def may_wait(self, request: Outbound, attempt: int, tried: set[str]) -> bool:
+        """Wait for upstreams to come back, which only background requests do, and not for long."""
+        if request.traffic_class is not TrafficClass.BACKGROUND or attempt >= BACKGROUND_TRIES:
+            return False
+        wait_s = BACKOFF_S * 2**attempt
+        if time.monotonic() + wait_s >= request.deadline or not self.budget.spend():
+            return False
+        await asyncio.sleep(wait_s)
+        return True
+
+    def may_retry(self, request: Outbound, refusal: Refusal, repeatable: bool) -> bool:
+        """Return whether a failed request goes to another upstream."""
+        if refusal.reason in HOPELESS or time.monotonic() >= request.deadline:
+            return False
+        if refusal.ran is not Ran.NOT_RUN and not repeatable:
+            return False
+        if refusal.reason is not Reason.DRAINING and not self.budget.spend():
+            return False
+        self.metrics.count(metrics.RETRIES)
+        events.emit(
+            events.RETRIED, request=request.request_id, after=refusal.reason, ran=refusal.ran
+        )
+        return True
+
+    def learn(self, member: Member, refusal: Refusal) -> None:
+        """Take what a refusal says about the member or about our own configuration."""
+        if refusal.reason is Reason.DRAINING:
+            self.view.mark_draining(member.name, member.incarnation)
+        elif refusal.reason in (Reason.OLD_REVISION, Reason.WRONG_INCARNATION):
+            self.on_old_revision()
+
+    async def send_hedged(
+        self,
+        member: Member,
+        candidates: Callable[[], list[Member]],
+        request: Outbound,
+        hedge_after_s: float,
+        tried: set[str],
+    ) -> Sent | Refusal:
+        """Send a request, and a second copy elsewhere if the first is slow."""
+        first = asyncio.ensure_future(self.send_once(member, request))
+        if not hedge_after_s:
+            return await finish(first)
+        try:
+            done, _ = await asyncio.wait({first}, timeout=hedge_after_s)
+            choice = None if done else self.choose(candidates(), request, "", tried)
+            if not isinstance(choice, Choice) or not self.budget.spend():
+                return await finish(first)
+            tried.add(choice.member.incarnation)
+            self.metrics.count(metrics.HEDGES)
+            events.emit(events.HEDGED, request=request.request_id, upstream=choice.member.name)
+            return await self.first_answer(first, choice.member, request)
+        finally:
+            first.cancel()
+
+    async def first_answer(
+        self, first: asyncio.Future[Any], member: Member, request: Outbound
+    ) -> Sent | Refusal:
+        """Return the first good answer of two copies; the other is cancelled."""
+        second = asyncio.ensure_future(self.send_once(member, request))
+        pending: set[asyncio.Future[Any]] = {first, second}
+        result: Sent | Refusal | None = None
+        try:
+            while pending:
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                for future in done:
+                    result = future.result()
+                    if isinstance(result, Sent):
+                        return result
+            return result or Refusal(Reason.UPSTREAM_LOST, Ran.UNKNOWN)
+        finally:
+            second.cancel()
+
+    async def send_once(self, member: Member, request: Outbound) -> Sent | Refusal:
+        """Send a request to one member."""
+        result = await self.upstreams.send(member, request)
+        return result if isinstance(result, Refusal) else Sent(member, result)
+
+
+async def finish(future: asyncio.Future[Any]) -> Any:
+    """Return a future's result, cancelling it if the caller goes away."""
+    try:
+        return await future
+    finally:
+        future.cancel()
--- /dev/null
+++ b/src/apricotvale/daemons/orders.py
@@ -0,0 +1,81 @@
+"""Orders to the engine beside a sidecar, each under a fencing number."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+
+from apricotvale import events
+from apricotvale.control.calls import SyncReply
+from apricotvale.weights.rollout import Fence, Grant, LoadFailure
+
+
+class OrderRunner:
+    """Carries out load grants, one at a time.
+
+    After a start nothing is carried out before control confirmed the newest fencing number, and
+    nothing at all once the view is older than its lease.
+    """
+
+    def __init__(self, sidecar: Any) -> None:
+        self.sidecar = sidecar
+        self.newest: Fence | None = None
+        self.queue: asyncio.Queue[Grant] = asyncio.Queue()
+
+    def take(self, reply: SyncReply) -> None:
+        """Queue grants that are newer than any that was begun."""
+        if not reply.confirmed:
+            return
+        if self.newest is None:
+            self.newest = Fence()
+        for grant in reply.grants:
+            if grant.fence > self.newest:
+                self.newest = grant.fence
+                self.queue.put_nowait(grant)
+
+    def may_run(self, grant: Grant) -> bool:
+        """Return whether a grant still binds: this incarnation, newest number, fresh view."""
+        is_newest = self.newest is not None and grant.fence >= self.newest
+        return (
+            is_newest
+            and self.sidecar.link.is_fresh
+            and grant.incarnation == self.sidecar.incarnation
+        )
+
+    async def run(self) -> None:
+        """Carry out grants until cancelled."""
+        while True:
+            grant = await self.queue.get()
+            if not self.may_run(grant):
+                events.emit(events.ORDER_REFUSED, fence=str(grant.fence), version=grant.version)
+                continue
+            failure = await self.load(grant)
+            if failure:
+                self.sidecar.link.failures.append(
+                    LoadFailure(
+                        grant.upstream, grant.incarnation, grant.model, grant.version, failure
+                    )
+                )
+            await self.sidecar.poll_upstream()
+            self.sidecar.link.poke()
+
+    async def load(self, grant: Grant) -> str:
+        """Order one load; return what failed, empty if nothing did."""
+        url = f"http://{self.sidecar.upstream.address}/v1/orders/load"
+        body = {
+            "model": grant.model,
+            "version": grant.version,
+            "fence": [grant.fence.term, grant.fence.index],
+        }
+        timeout_s = self.sidecar.deployment.weights.load_timeout_ms / 1000
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self.sidecar.session.post(url, json=body) as response,
+            ):
+                await response.read()
+                return "" if response.status == 200 else f"status {response.status}"
+        except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
+            return repr(error)
--- /dev/null
+++ b/src/apricotvale/daemons/rpc.py
@@ -0,0 +1,104 @@
+"""Calls between processes and control replicas over grpclib, with the project's own codec."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.config import Configuration
+from grpclib.const import Cardinality, Handler
+from grpclib.encoding.base import CodecBase
+from grpclib.server import Server, Stream
+
+from apricotvale.codec import decode, encode
+from apricotvale.control.calls import CallReply, CallRequest, Delivered, PeerBatch
+
+CALL_PATH = "/apricotvale.Control/Call"
+PEER_PATH = "/apricotvale.Control/Peer"
+WINDOW_BYTES = 4 * 1024 * 1024
+
+
+class MessageCodec(CodecBase):
+    """grpclib's codec interface over the project's messages."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Return a message as bytes."""
+        return encode(message, message_type)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Return the message in `data`."""
+        return decode(data, message_type)
+
+
+def window_configuration() -> Configuration:
+    """Return connection settings with room for snapshots."""
+    return Configuration(
+        http2_connection_window_size=WINDOW_BYTES, http2_stream_window_size=WINDOW_BYTES
+    )
+
+
+class ControlService:
+    """The server's side of both calls."""
+
+    def __init__(
+        self,
+        on_call: Callable[[Any], Awaitable[Any]],
+        on_peer: Callable[[PeerBatch], None],
+    ) -> None:
+        self.on_call = on_call
+        self.on_peer = on_peer
+
+    async def call(self, stream: Stream[Any, Any]) -> None:
+        """Answer one call."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(await self.on_call(request))
+
+    async def peer(self, stream: Stream[Any, Any]) -> None:
+        """Take a batch of peer messages."""
+        batch = await stream.recv_message()
+        if batch is not None:
+            self.on_peer(batch)
+            await stream.send_message(Delivered())
+
+    def __mapping__(self) -> dict[str, Handler]:
+        unary = Cardinality.UNARY_UNARY
+        return {
+            CALL_PATH: Handler(self.call, unary, CallRequest, CallReply),  # type: ignore[arg-type]
+            PEER_PATH: Handler(self.peer, unary, PeerBatch, Delivered),
+        }
+
+
+def make_server(service: ControlService) -> Server:
+    """Return a server for the service."""
+    return Server([service], codec=MessageCodec(), config=window_configuration())
+
+
+class RpcClient:
+    """A connection to one control replica."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self.channel = Channel(host, int(port), codec=MessageCodec(), config=window_configuration())
+        self.call_method: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
+            self.channel, CALL_PATH, CallRequest, CallReply  # type: ignore[arg-type]
+        )
+        self.peer_method: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
+            self.channel, PEER_PATH, PeerBatch, Delivered
+        )
+
+    async def call(self, request: Any, timeout_s: float) -> Any:
+        """Send a call and return its reply."""
+        return await self.call_method(request, timeout=timeout_s)
+
+    async def send_peer(self, batch: PeerBatch, timeout_s: float) -> None:
+        """Send peer messages."""
+        await self.peer_method(batch, timeout=timeout_s)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.channel.close()
--- /dev/null
+++ b/src/apricotvale/daemons/runtime.py
@@ -0,0 +1,104 @@
+"""What all daemons share: the event loop, signals, background tasks and health endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import uvloop
+from aiohttp import web
+
+from apricotvale import events
+
+KEEPALIVE_S = 30.0
+
+
+class TaskGroup:
+    """Background tasks that end with their owner; an error in one is logged."""
+
+    def __init__(self) -> None:
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    def start(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run a coroutine in the background."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.finished)
+        return task
+
+    def finished(self, task: asyncio.Task[Any]) -> None:
+        """Forget a task and log its error."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            events.emit(events.TASK_FAILED, error=repr(task.exception()))
+
+    async def __aenter__(self) -> TaskGroup:
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class HttpServer:
+    """An aiohttp application on one address, as a context manager."""
+
+    def __init__(self, app: web.Application, address: str) -> None:
+        self.address = address
+        self.runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, keepalive_timeout=KEEPALIVE_S
+        )
+        self.site: web.TCPSite | None = None
+
+    async def __aenter__(self) -> HttpServer:
+        host, _, port = self.address.rpartition(":")
+        await self.runner.setup()
+        self.site = web.TCPSite(self.runner, host, int(port), shutdown_timeout=1.0)
+        await self.site.start()
+        return self
+
+    async def stop_accepting(self) -> None:
+        """Close the listening socket and leave open connections alone."""
+        if self.site is not None:
+            await self.site.stop()
+            self.site = None
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.runner.cleanup()
+
+
+def health_routes(is_ready: Callable[[], bool]) -> list[web.RouteDef]:
+    """Return `/healthz` and `/readyz`."""
+
+    async def healthz(request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def readyz(request: web.Request) -> web.Response:
+        ready = is_ready()
+        return web.Response(
+            text="ready\n" if ready else "not ready\n", status=200 if ready else 503
+        )
+
+    return [web.get("/healthz", healthz), web.get("/readyz", readyz)]
+
+
+def stop_event() -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set."""
+    event = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, event.set)
+    return event
+
+
+def run(main: Callable[[asyncio.Event], Awaitable[None]]) -> None:
+    """Run a daemon until it is told to stop."""
+
+    async def body() -> None:
+        await main(stop_event())
+
+    uvloop.run(body())
--- /dev/null
+++ b/src/apricotvale/daemons/sidecar.py
@@ -0,0 +1,565 @@
+"""The sidecar: the only way to its upstream. It admits, stamps versions, fences and drains."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+import uuid
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from apricotvale import events, metrics
+from apricotvale.control.calls import SyncReply
+from apricotvale.daemons import headers as h
+from apricotvale.daemons.gate import Gate
+from apricotvale.daemons.link import ControlLink
+from apricotvale.daemons.orders import OrderRunner
+from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes
+from apricotvale.daemons.streams import (
+    STREAM_END,
+    Generated,
+    TokenParser,
+    completion_answer,
+    completion_chunk,
+    sse,
+    token_batches,
+)
+from apricotvale.exceptions import GarbledAnswerError, StreamCutError
+from apricotvale.membership.roster import Kind, Member, Standing
+from apricotvale.outcomes import Ran, Reason, Refusal, not_run, unknown
+from apricotvale.requests.admission import PRIORITY, Admission, Ticket
+from apricotvale.requests.claims import Outcome, OutcomeRecord
+from apricotvale.requests.tokens import TokenPhase, TokenTable
+from apricotvale.samples.store import Payload, PayloadStore
+from apricotvale.settings import Deployment, ProcessSettings, TrafficClass, parse_deployment
+
+POLL_S = 0.2
+POLL_TIMEOUT_S = 1.0
+POLL_FAILURES = 2
+MAX_RECORDED_BODY_BYTES = 64 * 1024
+STEP_BYTES = 64 * 1024 * 1024
+RESOLVE_POLL_S = 0.02
+RESOLVE_GRACE_S = 0.2
+HOP_HEADERS = {"content-length", "transfer-encoding", "connection", "host"}
+
+
+class Sidecar:
+    """One sidecar as a process."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        if settings.upstream is None:
+            raise ValueError("a sidecar needs an upstream")
+        self.settings = settings
+        self.upstream = settings.upstream
+        self.metrics = metrics.Metrics(settings.statsd, settings.name)
+        self.incarnation = uuid.uuid4().hex
+        self.instance = ""
+        self.models: dict[str, int] = {}
+        self.alive = False
+        self.poll_failures = 0
+        self.deployment: Deployment | None = None
+        self.revision = 0
+        self.revision_since = 0.0
+        self.gate = Gate(Admission(1, 0, 0, 0.0))
+        self.tokens = TokenTable(1, 1.0)
+        self.payloads = PayloadStore(STEP_BYTES)
+        self.link = ControlLink(settings.control, self.describe, self.in_force, self.on_reply)
+        self.orders = OrderRunner(self)
+        self.draining = False
+        self.session: aiohttp.ClientSession
+        self.single_session: aiohttp.ClientSession
+
+    # -- life
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until told to stop, then drain."""
+        connector = aiohttp.TCPConnector(limit=0)
+        single = aiohttp.TCPConnector(limit=0, force_close=True)
+        timeout = aiohttp.ClientTimeout(total=None)
+        async with (
+            aiohttp.ClientSession(connector=connector, timeout=timeout) as self.session,
+            aiohttp.ClientSession(connector=single, timeout=timeout) as self.single_session,
+            HttpServer(self.make_app(), self.settings.listen) as server,
+            TaskGroup() as tasks,
+        ):
+            events.emit(events.STARTED, listen=self.settings.listen)
+            await self.poll_upstream()
+            tasks.start(self.link.run())
+            tasks.start(self.watch_upstream())
+            tasks.start(self.orders.run())
+            await stop.wait()
+            await self.drain()
+            await self.link.leave()
+            await server.stop_accepting()
+        self.link.close()
+        events.emit(events.STOPPED)
+
+    async def drain(self) -> None:
+        """Refuse new work, say so, and finish what runs within the drain deadline."""
+        events.emit(events.STOPPING)
+        self.draining = True
+        self.gate.draining = True
+        self.link.poke()
+        drain_ms = self.deployment.limits.drain_ms if self.deployment else 0
+        try:
+            await asyncio.wait_for(self.gate.idle.wait(), drain_ms / 1000)
+        except TimeoutError:
+            events.emit(events.CANCELLED, why="drain deadline", active=self.gate.admission.active)
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=64 * 1024 * 1024)
+        app.add_routes(health_routes(lambda: self.alive and not self.draining))
+        app.add_routes(
+            [
+                web.post("/v1/completions", self.on_completion),
+                web.post("/call/{path:.*}", self.on_service_call),
+                web.post("/claims/resolve", self.on_resolve),
+                web.post("/samples", self.on_sample),
+                web.get("/samples/{attempt}", self.on_payload),
+                web.post("/samples/release", self.on_release),
+                web.post("/drain", self.on_drain),
+            ]
+        )
+        return app
+
+    # -- what control knows and says
+
+    def describe(self) -> Member:
+        """Return the member as it announces itself."""
+        leaving = self.draining or not self.alive
+        return Member(
+            name=self.settings.name,
+            incarnation=self.incarnation,
+            kind=Kind.ENGINE if self.upstream.pool else Kind.SERVICE,
+            address=self.settings.advertise or self.settings.listen,
+            site=self.settings.site,
+            group=self.upstream.pool or self.upstream.service,
+            models=dict(self.models),
+            checks_fencing=self.upstream.checks_fencing,
+            standing=Standing.DRAINING if leaving else Standing.SERVING,
+        )
+
+    def in_force(self) -> int:
+        """Return the configuration revision in force."""
+        return self.revision
+
+    def on_reply(self, reply: SyncReply) -> None:
+        """Take a newer configuration and orders."""
+        if reply.document is not None and reply.revision > self.revision:
+            overlay = reply.document.overlays.get(self.settings.site)
+            deployment = parse_deployment(reply.document.base, overlay, self.settings.site)
+            self.apply(deployment, reply.revision)
+            self.link.poke()
+        self.orders.take(reply)
+
+    def apply(self, deployment: Deployment, revision: int) -> None:
+        """Put a configuration in force."""
+        self.deployment = deployment
+        self.revision = revision
+        self.revision_since = time.monotonic()
+        limits = deployment.limits
+        pool = deployment.pools.get(self.upstream.pool)
+        service = deployment.services.get(self.upstream.service)
+        admission = self.gate.admission
+        admission.slots = pool.slots if pool else service.slots if service else 0
+        admission.reserve_percent = limits.interactive_reserve_percent
+        admission.queue_length = limits.queue_length
+        admission.queue_s = limits.queue_ms / 1000
+        self.tokens.limit = deployment.control.claims
+        self.tokens.window_s = deployment.control.claim_window_ms / 1000
+        self.link.sync_ms = deployment.control.sync_ms
+        self.link.lease_ms = deployment.control.lease_ms
+        events.emit(events.CONFIG_IN_FORCE, revision=revision)
+
+    # -- the upstream's state
+
+    async def watch_upstream(self) -> None:
+        """Poll the upstream; a restarted one is a new incarnation."""
+        while True:
+            await asyncio.sleep(POLL_S)
+            before = (self.alive, dict(self.models), self.incarnation)
+            await self.poll_upstream()
+            if (self.alive, self.models, self.incarnation) != before:
+                self.link.poke()
+
+    async def poll_upstream(self) -> None:
+        """Ask the upstream once for its state."""
+        path = "/v1/state" if self.upstream.pool else "/healthz"
+        url = f"http://{self.upstream.address}{path}"
+        try:
+            async with asyncio.timeout(POLL_TIMEOUT_S), self.session.get(url) as response:
+                body = await response.read()
+                if self.upstream.pool:
+                    self.note_state(json.loads(body))
+                self.alive = response.status == 200
+                self.poll_failures = 0
+        except aiohttp.ClientConnectorError:
+            self.alive = False
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
+            self.poll_failures += 1
+            self.alive = self.alive and self.poll_failures < POLL_FAILURES
+
+    def note_state(self, state: dict[str, Any]) -> None:
+        """Take versions and identity from the engine's own statement."""
+        instance = str(state["instance"])
+        if self.instance and instance != self.instance:
+            self.incarnation = uuid.uuid4().hex
+        self.instance = instance
+        self.models = {str(name): int(version) for name, version in state["models"].items()}
+
+    # -- the gate for every request
+
+    def check(self, request: web.Request) -> Refusal | float:
+        """Return the request's deadline, or why it is refused as not run."""
+        if self.draining or not self.alive:
+            return not_run(Reason.DRAINING, "the upstream is leaving", 0.0)
+        if request.headers.get(h.INCARNATION, self.incarnation) != self.incarnation:
+            return not_run(Reason.WRONG_INCARNATION, "the upstream was restarted")
+        if self.deployment is None:
+            return not_run(Reason.NOT_READY, "no confirmed configuration yet")
+        try:
+            revision = int(request.headers.get(h.REVISION, "0"))
+            remaining_s = float(request.headers.get(h.DEADLINE_MS, "0")) / 1000
+        except ValueError:
+            return not_run(Reason.BAD_REQUEST, "a malformed header")
+        grace_s = self.deployment.control.revision_grace_ms / 1000
+        now = time.monotonic()
+        if revision < self.revision and now > self.revision_since + grace_s:
+            return not_run(Reason.OLD_REVISION, str(self.revision))
+        if remaining_s <= 0:
+            return not_run(Reason.DEADLINE_EXPIRED)
+        return now + remaining_s
+
+    def load_header(self) -> str:
+        """Return the load that answers carry."""
+        return str(self.gate.admission.active + self.gate.admission.queued)
+
+    def refuse(self, request: web.Request, refusal: Refusal) -> web.Response:
+        """Return the answer for a refusal."""
+        request_id = request.headers.get(h.REQUEST_ID, "")
+        events.emit(events.REFUSED, request=request_id, reason=refusal.reason, ran=refusal.ran)
+        self.metrics.count(f"{metrics.REFUSALS}.{refusal.reason}")
+        fields = {h.RAN: refusal.ran.value, h.REQUEST_ID: request_id, h.LOAD: self.load_header()}
+        return web.json_response(
+            refusal.problem(request_id),
+            status=refusal.status,
+            headers=fields,
+            content_type=h.PROBLEM_TYPE,
+        )
+
+    async def enter(
+        self, request: web.Request, traffic_class: TrafficClass
+    ) -> tuple[Ticket, float] | Refusal:
+        """Pass the checks and wait for a slot; a request that is not a sample never preempts."""
+        deadline = self.check(request)
+        if isinstance(deadline, Refusal):
+            return deadline
+        ticket = await self.gate.enter(traffic_class, deadline, lambda: None)
+        if isinstance(ticket, Refusal):
+            return ticket
+        return ticket, deadline
+
+    # -- completions
+
+    def engine_body(self, body: dict[str, Any], traffic_class: TrafficClass) -> dict[str, Any]:
+        """Return the request to the engine."""
+        return {
+            "model": body["model"],
+            "prompt": body["prompt"],
+            "max_tokens": body["max_tokens"],
+            "request_id": body.get("request_id", ""),
+            "seed": body.get("seed"),
+            "resume_at": body.get("resume_at", 0),
+            "priority": PRIORITY[traffic_class],
+        }
+
+    def post_engine(self, body: dict[str, Any]) -> Any:
+        """Start a completion at the engine."""
+        url = f"http://{self.upstream.address}/v1/completions"
+        return self.session.post(url, json=body)
+
+    async def on_completion(self, request: web.Request) -> web.StreamResponse:
+        """Run an interactive completion, streamed or whole."""
+        traffic_class = TrafficClass(request.headers.get(h.TRAFFIC_CLASS, "interactive"))
+        entered = await self.enter(request, traffic_class)
+        if isinstance(entered, Refusal):
+            return self.refuse(request, entered)
+        ticket, deadline = entered
+        try:
+            body = await request.json()
+            async with asyncio.timeout(deadline - time.monotonic()):
+                return await self.complete(request, body, self.engine_body(body, traffic_class))
+        except aiohttp.ClientConnectorError:
+            return self.refuse(request, not_run(Reason.UPSTREAM_UNREACHABLE))
+        except TimeoutError:
+            return self.refuse(request, unknown(Reason.DEADLINE_EXPIRED))
+        except GarbledAnswerError as error:
+            return self.refuse(request, unknown(Reason.UPSTREAM_GARBLED, str(error)))
+        except (aiohttp.ClientError, StreamCutError, ConnectionError) as error:
+            return self.refuse(request, unknown(Reason.UPSTREAM_LOST, repr(error)))
+        finally:
+            self.gate.leave(ticket)
+
+    async def complete(
+        self, request: web.Request, body: dict[str, Any], engine_body: dict[str, Any]
+    ) -> web.StreamResponse:
+        """Pass a completion on; once a stream has begun, an error cuts it."""
+        request_id = request.headers.get(h.REQUEST_ID, "")
+        chat = bool(body.get("chat"))
+        made = Generated()
+        response: web.StreamResponse | None = None
+        async with self.post_engine(engine_body) as upstream:
+            if upstream.status != 200:
+                raise GarbledAnswerError(f"status {upstream.status}")
+            try:
+                async for tokens in token_batches(upstream.content, TokenParser()):
+                    made.add(tokens)
+                    if body.get("stream"):
+                        response = response or await self.begin_stream(request)
+                        text = "".join(token.text for token in tokens)
+                        chunk = completion_chunk(request_id, chat, text, tokens[-1].version, None)
+                        await response.write(sse(chunk))
+            except (GarbledAnswerError, StreamCutError, aiohttp.ClientError, TimeoutError):
+                if response is not None:
+                    return self.cut(request, response)
+                raise
+        if response is None:
+            answer = completion_answer(request_id, chat, body["model"], made)
+            fields = {h.REQUEST_ID: request_id, h.LOAD: self.load_header()}
+            return web.json_response(answer, headers=fields)
+        version = made.segments[-1].version
+        final = completion_chunk(request_id, chat, "", version, "stop")
+        final["usage"] = {"completion_tokens": made.tokens}
+        await response.write(sse(final) + STREAM_END)
+        await response.write_eof()
+        return response
+
+    async def begin_stream(self, request: web.Request) -> web.StreamResponse:
+        """Start a streamed answer."""
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                h.REQUEST_ID: request.headers.get(h.REQUEST_ID, ""),
+                h.LOAD: self.load_header(),
+            }
+        )
+        await response.prepare(request)
+        return response
+
+    def cut(self, request: web.Request, response: web.StreamResponse) -> web.StreamResponse:
+        """Break the connection, so that a cut stream cannot pass for a whole one."""
+        events.emit(events.STREAM_CUT, request=request.headers.get(h.REQUEST_ID, ""))
+        if request.transport is not None:
+            request.transport.abort()
+        return response
+
+    # -- plain services
+
+    async def on_service_call(self, request: web.Request) -> web.StreamResponse:
+        """Pass a call to the plain service, at most once if it carries a claim token."""
+        token = request.headers.get(h.TOKEN, "")
+        traffic_class = TrafficClass(request.headers.get(h.TRAFFIC_CLASS, "interactive"))
+        body = await request.read()
+        entered = await self.enter(request, traffic_class)
+        if isinstance(entered, Refusal):
+            return self.refuse_token(request, token, entered)
+        ticket, deadline = entered
+        try:
+            if token:
+                refusal = self.tokens.begin(token, time.monotonic())
+                if refusal is not None:
+                    return self.refuse(request, refusal)
+                work = asyncio.ensure_future(self.call_once(request, body, token, deadline))
+                outcome = await asyncio.shield(work)
+            else:
+                outcome = await self.call_service(request, body, deadline, self.session)
+        finally:
+            self.gate.leave(ticket)
+        if isinstance(outcome, Refusal):
+            return self.refuse(request, outcome)
+        return self.outcome_response(request, outcome)
+
+    def refuse_token(self, request: web.Request, token: str, refusal: Refusal) -> web.Response:
+        """Refuse a request and remember that its token never runs, unless it was sent before."""
+        if token:
+            standing = self.tokens.standing(token)
+            self.tokens.refuse(token, time.monotonic())
+            refusal = standing or refusal
+        return self.refuse(request, refusal)
+
+    async def call_once(
+        self, request: web.Request, body: bytes, token: str, deadline: float
+    ) -> Outcome | Refusal:
+        """Run a token; what becomes of it is remembered and reported, even if nobody waits."""
+        try:
+            outcome = await self.call_service(request, body, deadline, self.single_session)
+        except BaseException:
+            self.tokens.lose(token)
+            raise
+        key, _, attempt = token.rpartition("/")
+        if isinstance(outcome, Outcome):
+            self.tokens.finish(token, outcome)
+            if len(outcome.body) <= MAX_RECORDED_BODY_BYTES:
+                self.link.outcomes.append(OutcomeRecord(key, int(attempt), outcome))
+        elif outcome.ran is Ran.NOT_RUN:
+            self.tokens.withdraw(token)
+        else:
+            self.tokens.lose(token)
+            self.link.outcomes.append(OutcomeRecord(key, int(attempt), None))
+        return outcome
+
+    async def call_service(
+        self,
+        request: web.Request,
+        body: bytes,
+        deadline: float,
+        session: aiohttp.ClientSession,
+    ) -> Outcome | Refusal:
+        """Send a call to the service and return its whole answer."""
+        method = request.headers.get("X-Method", "POST")
+        query = f"?{request.query_string}" if request.query_string else ""
+        url = f"http://{self.upstream.address}/{request.match_info['path']}{query}"
+        passed = {
+            name: value
+            for name, value in request.headers.items()
+            if name.lower() not in HOP_HEADERS and not name.startswith("X-")
+        }
+        try:
+            async with (
+                asyncio.timeout(deadline - time.monotonic()),
+                session.request(
+                    method, url, data=body, headers=passed, allow_redirects=False
+                ) as answer,
+            ):
+                content = await answer.read()
+                return Outcome(answer.status, answer.headers.get("Content-Type", ""), content)
+        except aiohttp.ClientConnectorError:
+            return not_run(Reason.UPSTREAM_UNREACHABLE)
+        except TimeoutError:
+            return unknown(Reason.DEADLINE_EXPIRED, "the service did not answer in time")
+        except aiohttp.ClientResponseError as error:
+            return unknown(Reason.UPSTREAM_GARBLED, repr(error))
+        except (aiohttp.ClientError, ConnectionError) as error:
+            return unknown(Reason.UPSTREAM_LOST, repr(error))
+
+    def outcome_response(self, request: web.Request, outcome: Outcome) -> web.Response:
+        """Return a service's answer."""
+        fields = {
+            h.REQUEST_ID: request.headers.get(h.REQUEST_ID, ""),
+            h.LOAD: self.load_header(),
+            h.RAN: Ran.RAN.value,
+            "Content-Type": outcome.content_type or "application/octet-stream",
+        }
+        return web.Response(status=outcome.status, body=outcome.body, headers=fields)
+
+    async def on_resolve(self, request: web.Request) -> web.Response:
+        """Tell what became of a token, waiting while it runs; an unseen one is tombstoned."""
+        token = request.headers.get(h.TOKEN, "")
+        if request.headers.get(h.INCARNATION) != self.incarnation:
+            return self.refuse(request, unknown(Reason.OUTCOME_UNKNOWN, "another incarnation"))
+        deadline = time.monotonic() + float(request.headers.get(h.DEADLINE_MS, "0")) / 1000
+        grace_end = min(deadline, time.monotonic() + RESOLVE_GRACE_S)
+        while token not in self.tokens.records and time.monotonic() < grace_end:
+            await asyncio.sleep(RESOLVE_POLL_S)
+        seen = token in self.tokens.records
+        record = self.tokens.resolve(token, time.monotonic())
+        if not seen:
+            events.emit(events.TOKEN_TOMBSTONED, token=token)
+        while record.phase is TokenPhase.RUNNING and time.monotonic() < deadline:
+            await asyncio.sleep(RESOLVE_POLL_S)
+        if record.phase is TokenPhase.DONE and record.outcome is not None:
+            return self.outcome_response(request, record.outcome)
+        if record.phase is TokenPhase.CLOSED:
+            return self.refuse(request, not_run(Reason.TOMBSTONED))
+        return self.refuse(request, unknown(Reason.OUTCOME_UNKNOWN, record.phase.value))
+
+    # -- samples
+
+    async def on_sample(self, request: web.Request) -> web.StreamResponse:
+        """Generate one sample, giving way to interactive work and going on afterwards."""
+        deadline = self.check(request)
+        if isinstance(deadline, Refusal):
+            return self.refuse(request, deadline)
+        body = await request.json()
+        made = Generated()
+        try:
+            async with asyncio.timeout(deadline - time.monotonic()):
+                refusal = await self.generate(body, made, deadline)
+        except TimeoutError:
+            refusal = unknown(Reason.DEADLINE_EXPIRED)
+        except aiohttp.ClientConnectorError:
+            refusal = not_run(Reason.UPSTREAM_UNREACHABLE)
+        except GarbledAnswerError as error:
+            refusal = unknown(Reason.UPSTREAM_GARBLED, str(error))
+        except (aiohttp.ClientError, StreamCutError, ConnectionError) as error:
+            refusal = unknown(Reason.UPSTREAM_LOST, repr(error))
+        if refusal is not None:
+            return self.refuse(request, refusal)
+        payload = Payload(body["attempt"], made.text, made.tokens, list(made.segments))
+        self.payloads.add(payload)
+        fields = {
+            h.REQUEST_ID: request.headers.get(h.REQUEST_ID, ""),
+            h.LOAD: self.load_header(),
+        }
+        return web.json_response(payload.to_json(), headers=fields)
+
+    async def generate(
+        self, body: dict[str, Any], made: Generated, deadline: float
+    ) -> Refusal | None:
+        """Generate until the end marker, resuming after each preemption."""
+        while True:
+            stopped = asyncio.Event()
+            ticket = await self.gate.enter(TrafficClass.SAMPLE, deadline, stopped.set)
+            if isinstance(ticket, Refusal):
+                return ticket
+            try:
+                work = asyncio.ensure_future(self.generate_rest(body, made))
+                stop = asyncio.ensure_future(stopped.wait())
+                try:
+                    await asyncio.wait({work, stop}, return_when=asyncio.FIRST_COMPLETED)
+                    if work.done():
+                        work.result()
+                        return None
+                finally:
+                    stop.cancel()
+                    work.cancel()
+                    await asyncio.gather(work, stop, return_exceptions=True)
+            finally:
+                self.gate.leave(ticket)
+            events.emit(events.PREEMPTED, attempt=body["attempt"], tokens=made.tokens)
+
+    async def generate_rest(self, body: dict[str, Any], made: Generated) -> None:
+        """Generate what is missing."""
+        engine_body = self.engine_body(body, TrafficClass.SAMPLE)
+        engine_body["resume_at"] = made.tokens
+        parser = TokenParser(expected_first=made.tokens)
+        async with self.post_engine(engine_body) as upstream:
+            if upstream.status != 200:
+                raise GarbledAnswerError(f"status {upstream.status}")
+            async for tokens in token_batches(upstream.content, parser):
+                made.add(tokens)
+
+    async def on_payload(self, request: web.Request) -> web.Response:
+        """Return a sample that is kept until its trainer has it."""
+        payload = self.payloads.get(request.match_info["attempt"])
+        if payload is None:
+            return web.Response(status=404)
+        return web.json_response(payload.to_json())
+
+    async def on_release(self, request: web.Request) -> web.Response:
+        """Forget samples that their trainer has."""
+        for attempt in await request.json():
+            self.payloads.remove(attempt)
+        return web.Response(status=204)
+
+    async def on_drain(self, request: web.Request) -> web.Response:
+        """Start a drain on an operator's wish; the process stays until it is told to stop."""
+        self.draining = True
+        self.gate.draining = True
+        self.link.poke()
+        events.emit(events.STOPPING, why="operator")
+        return web.json_response({"draining": True, "active": self.gate.admission.active})
--- /dev/null
+++ b/src/apricotvale/daemons/steps.py
@@ -0,0 +1,253 @@
+"""The owner of a step: it generates samples, fills the ledger and keeps payloads at hand."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections import deque
+from typing import Any
+
+import aiohttp
+
+from apricotvale import events
+from apricotvale.control import commands as c
+from apricotvale.control.calls import StepOwnership
+from apricotvale.daemons.runtime import TaskGroup
+from apricotvale.daemons.upstreams import Answer, Outbound
+from apricotvale.hashing import hash32, hash64
+from apricotvale.membership.roster import Kind, Member, Standing
+from apricotvale.outcomes import Refusal
+from apricotvale.requests.routing import Choice
+from apricotvale.samples.dispatch import Attempt, StepPlan
+from apricotvale.samples.ledger import Fill, SlotsFilled, StepSpec
+from apricotvale.samples.store import Payload
+from apricotvale.settings.schema import TrafficClass
+
+WAKE_S = 0.1
+FAILED_PAUSE_S = 0.1
+FILL_DEADLINE_S = 10.0
+EXTRA_PER_ENGINE = 2
+
+
+class StepRunner:
+    """Runs one step until it is closed, done or owned by another entry."""
+
+    def __init__(self, entry: Any, spec: StepSpec, version: int, open_slots: list[int]) -> None:
+        self.entry = entry
+        self.spec = spec
+        self.plan = StepPlan(spec, version, deque(open_slots))
+        self.seen_reopened = 0
+        self.owned_at = time.monotonic()
+        self.work: dict[str, asyncio.Task[Any]] = {}
+        self.fills: list[Fill] = []
+        self.wake = asyncio.Event()
+        self.progress = asyncio.Event()
+        self.task: asyncio.Task[Any] | None = None
+
+    @property
+    def key(self) -> str:
+        """Return the step's name among the entry's steps."""
+        return f"{self.spec.trainer}/{self.spec.step}"
+
+    def take(self, ownership: StepOwnership) -> None:
+        """Take what control says about the step."""
+        self.owned_at = time.monotonic()
+        self.set_version(ownership.version)
+        if ownership.reopened > self.seen_reopened:
+            self.seen_reopened = ownership.reopened
+            self.plan.reopen(ownership.open_slots)
+        self.wake.set()
+
+    def set_version(self, version: int) -> None:
+        """Follow the trainer to a version and stop what would be too stale on arrival."""
+        self.plan.version = max(self.plan.version, version)
+        for attempt in self.plan.outdated():
+            self.stop(attempt, "too stale on arrival")
+        self.wake.set()
+
+    def stop(self, attempt: Attempt, why: str) -> None:
+        """Cancel an attempt."""
+        work = self.work.get(attempt.name)
+        if work is not None:
+            events.emit(events.SAMPLE_STOPPED, attempt=attempt.name, why=why)
+            work.cancel()
+
+    async def run(self) -> None:
+        """Dispatch samples until cancelled."""
+        async with TaskGroup() as tasks:
+            tasks.start(self.fill_ledger())
+            while True:
+                self.dispatch(tasks)
+                try:
+                    await asyncio.wait_for(self.wake.wait(), WAKE_S)
+                except TimeoutError:
+                    pass
+                self.wake.clear()
+
+    # -- dispatch
+
+    def engines(self) -> list[Member]:
+        """Return the engines whose version is fresh enough for the trainer."""
+        trainer = self.entry.deployment.trainers.get(self.spec.trainer)
+        if trainer is None:
+            return []
+        oldest = self.plan.version - self.spec.staleness_bound
+        return [
+            member
+            for member in self.entry.view.members.values()
+            if member.kind is Kind.ENGINE
+            and member.group == trainer.pool
+            and member.standing is Standing.SERVING
+            and member.models.get(trainer.model, -1) >= oldest
+        ]
+
+    def capacity(self, engines: list[Member]) -> int:
+        """Return how many samples to have under way: the trainer's share of the engines."""
+        deployment = self.entry.deployment
+        trainer = deployment.trainers[self.spec.trainer]
+        slots = deployment.pools[trainer.pool].slots
+        reserve = deployment.limits.interactive_reserve_percent
+        per_engine = max(1, slots - -(-slots * reserve // 100)) + EXTRA_PER_ENGINE
+        rivals = {runner.spec.trainer for runner in self.entry.runners.values()}
+        shares = [
+            other.share
+            for name, other in deployment.trainers.items()
+            if name in rivals and other.pool == trainer.pool
+        ]
+        return max(1, per_engine * len(engines) * trainer.share // max(1, sum(shares)))
+
+    def dispatch(self, tasks: TaskGroup) -> None:
+        """Start attempts at open slots while there is room, then repeat stragglers."""
+        if self.entry.deployment is None or not self.entry.link.is_fresh:
+            return
+        engines = self.engines()
+        if not engines:
+            return
+        capacity = self.capacity(engines)
+        while len(self.work) < capacity:
+            slot = self.plan.next_slot()
+            if slot is None:
+                break
+            if not self.start(tasks, slot, engines, set(), "next open slot"):
+                self.plan.open_slots.appendleft(slot)
+                return
+        for slow in self.plan.stragglers(time.monotonic()):
+            busy = {m.incarnation for m in engines if m.name == slow.upstream}
+            if self.start(tasks, slow.slot, engines, busy, "straggler"):
+                self.plan.repeats += 1
+                events.emit(events.STRAGGLER, attempt=slow.name, upstream=slow.upstream)
+
+    def start(
+        self, tasks: TaskGroup, slot: int, engines: list[Member], busy: set[str], why: str
+    ) -> bool:
+        """Start one attempt; return whether an engine was found."""
+        prompt = self.spec.prompts[slot // self.spec.group_size]
+        affinity = f"{hash64(prompt):016x}"
+        choice = self.entry.router.choose(engines, time.monotonic(), affinity, busy)
+        if not isinstance(choice, Choice):
+            return False
+        member = choice.member
+        name = f"{self.key}/{slot}/{self.entry.incarnation[:8]}-{next(self.plan.counter)}"
+        version = member.models[self.entry.deployment.trainers[self.spec.trainer].model]
+        now = time.monotonic()
+        attempt = self.plan.begin(slot, name, member.name, version, now)
+        events.emit(
+            events.SAMPLE_PLACED,
+            attempt=name,
+            upstream=member.name,
+            why=f"{why}, {choice.why}",
+            candidates=choice.candidates,
+            costs={item.name: item.cost for item in choice.considered},
+        )
+        self.work[name] = tasks.start(self.generate(attempt, member, prompt))
+        return True
+
+    async def generate(self, attempt: Attempt, member: Member, prompt: str) -> None:
+        """Generate one sample and queue its fill."""
+        made = False
+        try:
+            answer = await self.entry.upstreams.send(member, self.request(attempt, prompt))
+            if isinstance(answer, Answer):
+                payload = Payload.from_json(json.loads(answer.body))
+                made = payload.attempt == attempt.name
+                if made:
+                    await self.keep(attempt, member, payload)
+            if isinstance(answer, Refusal):
+                self.entry.dispatcher.learn(member, answer)
+                events.emit(events.SAMPLE_FAILED, attempt=attempt.name, reason=answer.reason)
+                await asyncio.sleep(FAILED_PAUSE_S)
+        finally:
+            self.work.pop(attempt.name, None)
+            self.plan.end(attempt, made, time.monotonic())
+            self.wake.set()
+
+    def request(self, attempt: Attempt, prompt: str) -> Outbound:
+        """Return the request to a sidecar."""
+        trainer = self.entry.deployment.trainers[self.spec.trainer]
+        body = {
+            "attempt": attempt.name,
+            "model": trainer.model,
+            "prompt": prompt,
+            "max_tokens": self.spec.max_tokens,
+            "seed": self.seed(attempt.slot),
+        }
+        timeout_s = self.entry.deployment.limits.sample_timeout_ms / 1000
+        return Outbound(
+            "/samples",
+            json.dumps(body).encode(),
+            attempt.name,
+            TrafficClass.SAMPLE,
+            time.monotonic() + timeout_s,
+        )
+
+    def seed(self, slot: int) -> int:
+        """Return a seed that is the same for every attempt at a slot."""
+        return hash32(f"{self.key}/{slot}")
+
+    async def keep(self, attempt: Attempt, member: Member, payload: Payload) -> None:
+        """Keep a payload with its score, and queue its fill."""
+        self.entry.payloads.add(payload)
+        await self.entry.score(self.spec.trainer, payload)
+        fill = Fill(attempt.slot, payload.attempt, member.name, payload.segments, payload.tokens)
+        self.fills.append(fill)
+        self.progress.set()
+
+    async def fill_ledger(self) -> None:
+        """Commit queued fills in batches; a batch that was not confirmed is proposed again."""
+        while True:
+            await self.progress.wait()
+            self.progress.clear()
+            batch, self.fills = self.fills, []
+            if not batch:
+                continue
+            command = c.FillSlots(self.spec.trainer, self.spec.step, batch)
+            deadline = time.monotonic() + FILL_DEADLINE_S
+            result = await self.entry.control.propose(command, deadline)
+            if not isinstance(result, SlotsFilled):
+                self.fills = batch + self.fills
+                self.progress.set()
+                await asyncio.sleep(FAILED_PAUSE_S)
+                continue
+            self.plan.note_filled(result.taken, result.dropped)
+            for slot in result.taken:
+                events.emit(events.SAMPLE_FILLED, step=self.key, slot=slot)
+                for twin in self.plan.twins(slot):
+                    self.stop(twin, "its twin was first")
+            self.entry.filled(self.key)
+            self.wake.set()
+
+
+async def fetch_payload(
+    session: aiohttp.ClientSession, member: Member, attempt: str, timeout_s: float
+) -> Payload | None:
+    """Fetch a payload from the sidecar that keeps it; None if it does not have it."""
+    url = f"http://{member.address}/samples/{attempt.replace('/', '%2F')}"
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    try:
+        async with session.get(url, timeout=timeout) as response:
+            if response.status != 200:
+                return None
+            return Payload.from_json(await response.json())
+    except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
+        return None
--- /dev/null
+++ b/src/apricotvale/daemons/trainers.py
@@ -0,0 +1,270 @@
+"""The trainers' HTTP interface of an entry: steps, pulls, acknowledgements and publications."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import Any
+
+from aiohttp import web
+from attrs import frozen
+
+from apricotvale import events
+from apricotvale.control import commands as c
+from apricotvale.daemons import headers as h
+from apricotvale.daemons.steps import fetch_payload
+from apricotvale.exceptions import bad_input
+from apricotvale.outcomes import Reason, Refusal, not_run
+from apricotvale.samples.ledger import (
+    Delivery,
+    Fill,
+    Handed,
+    PullRejected,
+    StepOpened,
+    StepRejected,
+    StepSpec,
+)
+from apricotvale.samples.store import Payload
+from apricotvale.settings.schema import Trainer
+
+CALL_MS = 10_000
+MAX_PULL = 512
+MAX_WAIT_MS = 10_000
+POLL_S = 0.2
+FETCH_S = 1.0
+FETCH_TRIES = 2
+DEFAULT_STEP_MS = 1_200_000
+
+
+@frozen
+class Pull:
+    """A trainer's pull."""
+
+    trainer: str
+    step: int
+    cursor: int
+    number: int
+    most: int
+    wait_until: float
+
+
+@frozen
+class Pulled:
+    """What a pull found: the delivery and the payloads of its samples by attempt."""
+
+    delivery: Delivery
+    payloads: dict[str, Payload]
+
+
+class TrainerInterface:
+    """Handlers of one entry."""
+
+    def __init__(self, entry: Any) -> None:
+        self.entry = entry
+
+    def find(self, request: web.Request) -> Trainer | Refusal:
+        """Return the settings of the trainer in the path."""
+        name = request.match_info["trainer"]
+        settings = self.entry.deployment.trainers.get(name)
+        return settings or not_run(Reason.UNKNOWN_TRAINER, name)
+
+    async def propose(self, request: web.Request, command: Any) -> Any:
+        """Commit a command within the request's deadline."""
+        deadline = self.entry.deadline_of(request, CALL_MS)
+        return await self.entry.control.propose(command, deadline)
+
+    async def on_open(self, request: web.Request) -> web.Response:
+        """Open a step."""
+        settings = self.find(request)
+        body = await self.entry.read_body(request)
+        if isinstance(settings, Refusal) or isinstance(body, Refusal):
+            refusal = settings if isinstance(settings, Refusal) else body
+            return self.entry.refuse(request, refusal)
+        with bad_input():
+            document = json.loads(body)
+            spec, window_ms = read_spec(request.match_info["trainer"], settings, document)
+        entry = self.entry
+        command = c.OpenStep(spec, entry.settings.name, entry.incarnation, window_ms)
+        result = await self.propose(request, command)
+        if isinstance(result, StepRejected):
+            detail = f"the last step was {result.last_step}"
+            return entry.refuse(request, not_run(Reason.BAD_REQUEST, detail))
+        if not isinstance(result, StepOpened):
+            return entry.refuse(request, result)
+        events.emit(events.STEP_OPENED, trainer=spec.trainer, step=spec.step, slots=spec.slots)
+        entry.link.poke()
+        return self.reply(request, {"step": spec.step, "version": result.version})
+
+    def reply(self, request: web.Request, document: dict[str, Any]) -> web.Response:
+        """Return an answer to a trainer."""
+        return web.json_response(document, headers={h.REQUEST_ID: request["id"]})
+
+    async def on_pull(self, request: web.Request) -> web.Response:
+        """Acknowledge below the cursor and hand over what is ready."""
+        settings = self.find(request)
+        if isinstance(settings, Refusal):
+            return self.entry.refuse(request, settings)
+        body = await request.read()
+        with bad_input():
+            pull = read_pull(request.match_info["trainer"], request.match_info["step"], body)
+        pulled = await self.pull(request, pull)
+        if isinstance(pulled, Refusal):
+            return self.entry.refuse(request, pulled)
+        return self.reply(request, await self.document(pull, pulled))
+
+    async def pull(self, request: web.Request, pull: Pull) -> Pulled | Refusal:
+        """Hand over until something is ready or the waiting time is over."""
+        key = f"{pull.trainer}/{pull.step}"
+        lost: list[str] = []
+        while True:
+            if not self.entry.link.is_fresh:
+                return not_run(Reason.NO_QUORUM, "control does not confirm the view", 1.0)
+            event = self.entry.fill_event(key)
+            command = c.HandOver(pull.trainer, pull.step, pull.cursor, pull.number, pull.most, lost)
+            result = await self.propose(request, command)
+            if isinstance(result, Refusal):
+                return result
+            if isinstance(result, PullRejected):
+                reason = Reason.STALE_PULL if result.known else Reason.UNKNOWN_STEP
+                return not_run(reason, f"the last pull was {result.pull}")
+            payloads, lost = await self.collect(result.handed)
+            if lost:
+                continue
+            waiting = time.monotonic() < pull.wait_until
+            if payloads or result.done or not waiting:
+                return Pulled(result, payloads)
+            await wait_for(event, min(POLL_S, pull.wait_until - time.monotonic()))
+
+    async def collect(self, handed: list[Handed]) -> tuple[dict[str, Payload], list[str]]:
+        """Return the payloads of handed samples, and the attempts whose payload is lost."""
+        fills = [item.fill for item in handed if item.fill is not None]
+        found = await asyncio.gather(*(self.payload(fill) for fill in fills))
+        payloads = {payload.attempt: payload for payload in found if payload is not None}
+        lost = [fill.attempt for fill in fills if fill.attempt not in payloads]
+        return payloads, lost
+
+    async def payload(self, fill: Fill) -> Payload | None:
+        """Return a payload from memory or from the sidecar that keeps it."""
+        held = self.entry.payloads.get(fill.attempt)
+        if held is not None:
+            return held
+        for _ in range(FETCH_TRIES):
+            member = self.entry.view.members.get(fill.sidecar)
+            if member is None:
+                return None
+            session = self.entry.upstreams.session
+            payload = await fetch_payload(session, member, fill.attempt, FETCH_S)
+            if payload is not None:
+                self.entry.payloads.add(payload)
+                return payload
+        return None
+
+    async def document(self, pull: Pull, pulled: Pulled) -> dict[str, Any]:
+        """Return the answer to a pull."""
+        delivery = pulled.delivery
+        positions = []
+        for item in delivery.handed:
+            sample = None
+            if item.fill is not None:
+                payload = pulled.payloads[item.fill.attempt]
+                sample = {**payload.to_json(), "slot": item.fill.slot}
+                score = await self.entry.score(pull.trainer, payload)
+                if score is not None:
+                    sample["score"] = score
+            positions.append({"position": item.position, "sample": sample})
+        return {
+            "pull": pull.number,
+            "positions": positions,
+            "next": delivery.next_position,
+            "version": delivery.version,
+            "open": delivery.open_slots,
+            "done": delivery.done,
+        }
+
+    async def on_close(self, request: web.Request) -> web.Response:
+        """Close a step."""
+        trainer = request.match_info["trainer"]
+        with bad_input():
+            step = int(request.match_info["step"])
+        result = await self.propose(request, c.CloseStep(trainer, step))
+        if isinstance(result, Refusal):
+            return self.entry.refuse(request, result)
+        self.entry.stop_runner(f"{trainer}/{step}")
+        events.emit(events.STEP_CLOSED, trainer=trainer, step=step)
+        return self.reply(request, {"closed": True})
+
+    async def on_publish(self, request: web.Request) -> web.Response:
+        """Publish a version of the trainer's model."""
+        settings = self.find(request)
+        if isinstance(settings, Refusal):
+            return self.entry.refuse(request, settings)
+        trainer = request.match_info["trainer"]
+        body = await request.read()
+        with bad_input():
+            version = int(json.loads(body)["version"])
+        result = await self.propose(request, c.Publish(trainer, settings.model, version))
+        if not isinstance(result, c.Published):
+            return self.entry.refuse(request, result)
+        for runner in self.entry.runners.values():
+            if runner.spec.trainer == trainer:
+                runner.set_version(result.version)
+        return self.reply(request, {"version": result.version})
+
+
+def read_spec(trainer: str, settings: Trainer, body: dict[str, Any]) -> tuple[StepSpec, int]:
+    """Return the step that a trainer asks for, and its time limit in milliseconds."""
+    prompts = body["prompts"]
+    if not isinstance(prompts, list) or not prompts:
+        raise ValueError("prompts must be a list that is not empty")
+    if not all(isinstance(prompt, str) for prompt in prompts):
+        raise TypeError("prompts must be strings")
+    spec = StepSpec(
+        trainer=trainer,
+        step=int(body["step"]),
+        prompts=prompts,
+        group_size=positive(body.get("group_size", settings.group_size)),
+        staleness_bound=int(body.get("staleness_bound", settings.staleness_bound)),
+        max_tokens=positive(body.get("max_tokens", 64)),
+        whole_groups=bool(body.get("whole_groups", settings.whole_groups)),
+    )
+    if spec.staleness_bound < 0:
+        raise ValueError("staleness_bound must not be negative")
+    return spec, positive(body.get("deadline_ms", DEFAULT_STEP_MS))
+
+
+def read_pull(trainer: str, step: str, body: bytes) -> Pull:
+    """Return a trainer's pull."""
+    document = json.loads(body)
+    wait_ms = min(int(document.get("wait_ms", 0)), MAX_WAIT_MS)
+    most = min(positive(document.get("most", MAX_PULL)), MAX_PULL)
+    cursor, number = int(document["cursor"]), int(document["pull"])
+    wait_until = time.monotonic() + wait_ms / 1000
+    return Pull(trainer, int(step), cursor, number, most, wait_until)
+
+
+def positive(value: Any) -> int:
+    """Return a number that must be positive."""
+    number = int(value)
+    if number < 1:
+        raise ValueError(f"{number} is not positive")
+    return number
+
+
+async def wait_for(event: asyncio.Event, timeout_s: float) -> None:
+    """Wait for an event for a limited time."""
+    try:
+        await asyncio.wait_for(event.wait(), max(0.0, timeout_s))
+    except TimeoutError:
+        pass
+
+
+def trainer_routes(entry: Any) -> list[web.RouteDef]:
+    """Return the routes of the trainers' interface."""
+    handlers = TrainerInterface(entry)
+    return [
+        web.post("/trainers/{trainer}/steps", handlers.on_open),
+        web.post("/trainers/{trainer}/steps/{step}/pull", handlers.on_pull),
+        web.post("/trainers/{trainer}/steps/{step}/close", handlers.on_close),
+        web.post("/trainers/{trainer}/versions", handlers.on_publish),
+    ]
--- /dev/null
+++ b/src/apricotvale/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members that announced themselves, and views of them."""
--- /dev/null
+++ b/src/apricotvale/outcomes.py
@@ -0,0 +1,105 @@
+"""Sentinel values for requests that were not answered, each with its reason."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from attrs import frozen
+
+
+class Ran(StrEnum):
+    """Whether a refused or failed request ran at an upstream."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class Reason(StrEnum):
+    """Why a request was refused or failed."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_ROUTE = "unknown_route"
+    UNKNOWN_TRAINER = "unknown_trainer"
+    UNKNOWN_STEP = "unknown_step"
+    DEADLINE_EXPIRED = "deadline_expired"
+    NO_UPSTREAM = "no_upstream"
+    OVERLOADED = "overloaded"
+    DRAINING = "draining"
+    NOT_READY = "not_ready"
+    OLD_REVISION = "old_revision"
+    WRONG_INCARNATION = "wrong_incarnation"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    UPSTREAM_LOST = "upstream_lost"
+    UPSTREAM_GARBLED = "upstream_garbled"
+    NO_QUORUM = "no_quorum"
+    KEY_REUSED = "key_reused"
+    KEYS_FULL = "keys_full"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    TOMBSTONED = "tombstoned"
+    STALE_PULL = "stale_pull"
+    OLD_FENCE = "old_fence"
+    ISLAND = "island"
+
+
+STATUS_BY_REASON = {
+    Reason.BAD_REQUEST: 400,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.UNKNOWN_MODEL: 404,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.UNKNOWN_TRAINER: 404,
+    Reason.UNKNOWN_STEP: 404,
+    Reason.DEADLINE_EXPIRED: 504,
+    Reason.OVERLOADED: 429,
+    Reason.KEY_REUSED: 422,
+    Reason.OUTCOME_UNKNOWN: 502,
+    Reason.UPSTREAM_LOST: 502,
+    Reason.UPSTREAM_GARBLED: 502,
+    Reason.STALE_PULL: 409,
+    Reason.OLD_FENCE: 409,
+}
+DEFAULT_STATUS = 503
+RETRY_AFTER_S = 1.0
+
+
+@frozen
+class Refusal:
+    """A request that was refused or failed: why, whether it ran and when to come back."""
+
+    reason: Reason
+    ran: Ran
+    detail: str = ""
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status for the refusal."""
+        return STATUS_BY_REASON.get(self.reason, DEFAULT_STATUS)
+
+    def problem(self, request_id: str = "") -> dict[str, object]:
+        """Return the problem document (RFC 9457) for the caller."""
+        document: dict[str, object] = {
+            "type": f"urn:apricotvale:{self.reason.value}",
+            "title": self.reason.value.replace("_", " "),
+            "status": self.status,
+            "ran": self.ran.value,
+            "detail": self.detail,
+            "request_id": request_id,
+        }
+        if self.retry_after_s is not None:
+            document["retry_after_s"] = self.retry_after_s
+        return document
+
+
+def not_run(reason: Reason, detail: str = "", retry_after_s: float | None = None) -> Refusal:
+    """Return a refusal of a request that reached no upstream."""
+    return Refusal(reason, Ran.NOT_RUN, detail, retry_after_s)
+
+
+def unknown(reason: Reason, detail: str = "") -> Refusal:
+    """Return a failure of a request that may have run."""
+    return Refusal(reason, Ran.UNKNOWN, detail)
--- /dev/null
+++ b/src/apricotvale/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: claims of non-idempotent ones, admission, routing and retries."""
--- /dev/null
+++ b/src/apricotvale/requests/routing.py
@@ -0,0 +1,180 @@
+"""Choice of an upstream by an entry.
+
+Candidates are those eligible and not ejected. For a prompt with affinity the preferred engine is
+taken unless it is busier than the best by more than a slack; otherwise the least loaded of a
+sample of candidates is taken, the own failure domain winning a tie.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+from apricotvale.hashing import hash64
+from apricotvale.membership.roster import Member
+from apricotvale.outcomes import RETRY_AFTER_S, Reason, Refusal, not_run
+from apricotvale.settings.schema import Routing
+
+SAMPLE_SIZE = 8
+MAX_EJECTION_DOUBLINGS = 5
+LOGGED_CANDIDATES = 8
+
+
+@define
+class UpstreamLoad:
+    """What an entry knows of one incarnation's load and health."""
+
+    in_flight: int = 0
+    reported: int = 0
+    in_flight_at_report: int = 0
+    reported_at: float = float("-inf")
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = float("-inf")
+    trial: bool = False
+
+
+@frozen
+class Considered:
+    """A candidate and its cost at the moment of the choice."""
+
+    name: str
+    cost: float
+
+
+@frozen
+class Choice:
+    """The upstream chosen, and why."""
+
+    member: Member
+    why: str
+    candidates: int
+    considered: tuple[Considered, ...]
+
+
+@define
+class Router:
+    """An entry's routing state.
+
+    :param site: the entry's failure domain.
+    :param settings: routing settings in force.
+    :param rng: source of the random samples.
+    """
+
+    site: str
+    settings: Routing
+    rng: random.Random
+    loads: dict[str, UpstreamLoad] = field(factory=dict)
+
+    def load_of(self, member: Member) -> UpstreamLoad:
+        """Return the load record of a member's incarnation."""
+        load = self.loads.get(member.incarnation)
+        if load is None:
+            load = self.loads[member.incarnation] = UpstreamLoad()
+        return load
+
+    def cost(self, member: Member, now: float) -> float:
+        """Return own requests in flight, plus others' by a report that is not too old."""
+        load = self.load_of(member)
+        age_ms = (now - load.reported_at) * 1000
+        if age_ms > self.settings.load_age_ms:
+            return float(load.in_flight)
+        others = max(0, load.reported - load.in_flight_at_report)
+        return load.in_flight + others * (1.0 - age_ms / (self.settings.load_age_ms + 1))
+
+    def choose(
+        self,
+        candidates: list[Member],
+        now: float,
+        affinity: str = "",
+        excluded: Iterable[str] = (),
+    ) -> Choice | Refusal:
+        """Return the upstream for a request, or a refusal when there is none.
+
+        :param candidates: eligible members.
+        :param now: the monotonic clock, in seconds.
+        :param affinity: what the request shares with others, such as its prompt's start.
+        :param excluded: incarnations that this request has already tried.
+        """
+        left = [m for m in candidates if m.incarnation not in excluded] if excluded else candidates
+        healthy = [m for m in left if self.is_healthy(m, now)]
+        usable = healthy or left
+        if not usable:
+            return not_run(Reason.NO_UPSTREAM, "no upstream is eligible", RETRY_AFTER_S)
+        why = "least loaded" if healthy else "least loaded of the ejected"
+        sampled = usable
+        if len(usable) > SAMPLE_SIZE:
+            sampled = self.rng.sample(usable, SAMPLE_SIZE)
+        costs = [(self.cost(m, now), m.site != self.site, self.rng.random(), m) for m in sampled]
+        best = min(costs, key=lambda item: item[:3])
+        chosen = best[3]
+        if affinity:
+            preferred = preferred_member(usable, affinity)
+            if self.cost(preferred, now) <= best[0] + self.settings.affinity_slack:
+                chosen, why = preferred, "prefix affinity"
+        considered = tuple(
+            Considered(m.name, round(cost, 2)) for cost, _, _, m in costs[:LOGGED_CANDIDATES]
+        )
+        return Choice(chosen, why, len(usable), considered)
+
+    def is_healthy(self, member: Member, now: float) -> bool:
+        """Return whether a member is not ejected; after an ejection one request at a time."""
+        load = self.loads.get(member.incarnation)
+        if load is None or not load.ejections:
+            return True
+        if now < load.ejected_until:
+            return False
+        return not load.failures or load.in_flight == 0
+
+    def begin(self, member: Member) -> None:
+        """Count a request that is sent."""
+        self.load_of(member).in_flight += 1
+
+    def end(self, member: Member) -> None:
+        """Count a request that is over."""
+        self.load_of(member).in_flight -= 1
+
+    def report(self, member: Member, active: int, now: float) -> None:
+        """Take the load that an answer carried."""
+        load = self.load_of(member)
+        load.reported = active
+        load.in_flight_at_report = load.in_flight
+        load.reported_at = now
+
+    def succeed(self, member: Member) -> None:
+        """Note a success, which ends an ejection."""
+        load = self.load_of(member)
+        load.failures = 0
+        load.ejections = 0
+
+    def fail(self, member: Member, now: float) -> bool:
+        """Note a failure; return whether the upstream is ejected by it."""
+        load = self.load_of(member)
+        load.failures += 1
+        if load.failures < self.settings.eject_failures:
+            return False
+        doublings = min(load.ejections, MAX_EJECTION_DOUBLINGS)
+        load.ejected_until = now + self.settings.eject_ms / 1000 * 2**doublings
+        load.ejections += 1
+        return True
+
+    def forget_departed(self, incarnations: set[str]) -> None:
+        """Drop the records of members that are gone and have nothing in flight."""
+        for incarnation, load in list(self.loads.items()):
+            if incarnation not in incarnations and load.in_flight == 0:
+                del self.loads[incarnation]
+
+
+def preferred_member(members: list[Member], affinity: str) -> Member:
+    """Return the member that a prompt prefers, by rendezvous hashing."""
+    return max(members, key=lambda m: hash64(f"{affinity}|{m.name}"))
+
+
+def subset(members: list[Member], entry: str, size: int) -> list[Member]:
+    """Return the members that one entry uses, the same each time and evenly spread."""
+    if not size or len(members) <= size:
+        return members
+    ranked = sorted(members, key=lambda m: hash64(f"{entry}|{m.name}"))
+    return ranked[:size]
--- /dev/null
+++ b/src/apricotvale/samples/__init__.py
@@ -0,0 +1,1 @@
+"""Samples: the replicated ledger of steps and the policy that dispatches them."""
--- /dev/null
+++ b/src/apricotvale/settings/loader.py
@@ -0,0 +1,299 @@
+"""Reading settings files: every problem is found in one pass and names file, key and value."""
+
+from __future__ import annotations
+
+import tomllib
+import types
+from enum import Enum
+from pathlib import Path
+from typing import Any, Union, get_args, get_origin, get_type_hints
+
+import attrs
+from attrs import frozen
+
+from apricotvale.exceptions import SettingsError
+from apricotvale.settings.schema import Deployment, ProcessSettings
+
+NAMED_TABLES = ("pools", "services", "trainers")
+OVERLAY_SITE_KEY = "site"
+FIXED_KEYS = ("name", "region", "failure_domains")
+
+
+@frozen
+class Problem:
+    """One thing wrong with a settings file."""
+
+    file: str
+    key: str
+    value: Any
+    expected: str
+
+    def describe(self) -> str:
+        """Return the problem as one line."""
+        return f"{self.file}: {self.key} = {self.value!r}: expected {self.expected}"
+
+
+class Checker:
+    """Collects problems while a document is turned into settings."""
+
+    def __init__(self, file: str) -> None:
+        self.file = file
+        self.problems: list[Problem] = []
+
+    def report(self, key: str, value: Any, expected: str) -> None:
+        """Add a problem."""
+        self.problems.append(Problem(self.file, key, value, expected))
+
+    def build(self, kind: Any, value: Any, key: str) -> Any:
+        """Return `value` as `kind`, or None with a problem reported."""
+        origin = get_origin(kind)
+        if origin in (Union, types.UnionType):
+            return self.build(get_args(kind)[0], value, key)
+        if attrs.has(kind):
+            return self.build_table(kind, value, key)
+        if origin is list:
+            return self.build_list(get_args(kind)[0], value, key)
+        if origin is dict:
+            return self.build_dict(get_args(kind)[1], value, key)
+        if isinstance(kind, type) and issubclass(kind, Enum):
+            return self.build_enum(kind, value, key)
+        if type(value) is not kind:
+            self.report(key, value, f"a value of type {kind.__name__}")
+            return None
+        return value
+
+    def build_table(self, kind: Any, value: Any, key: str) -> Any:
+        """Return a settings object made of a table."""
+        if not isinstance(value, dict):
+            self.report(key, value, "a table")
+            return None
+        hints = get_type_hints(kind)
+        fields = {attribute.name: attribute for attribute in attrs.fields(kind)}
+        count = len(self.problems)
+        for unknown in sorted(set(value) - set(fields)):
+            self.report(join(key, unknown), value[unknown], f"one of {', '.join(fields)}")
+        arguments = {}
+        for name, attribute in fields.items():
+            if name in value:
+                arguments[name] = self.build(hints[name], value[name], join(key, name))
+                self.check_bounds(attribute, arguments[name], join(key, name))
+            elif attribute.default is attrs.NOTHING:
+                self.report(join(key, name), None, f"a value: {attribute.metadata['summary']}")
+        return kind(**arguments) if len(self.problems) == count else None
+
+    def check_bounds(self, attribute: Any, value: Any, key: str) -> None:
+        """Report a number outside its bounds."""
+        least, most = attribute.metadata.get("least"), attribute.metadata.get("most")
+        if not isinstance(value, int):
+            return
+        if least is not None and value < least:
+            self.report(key, value, f"at least {least}")
+        if most is not None and value > most:
+            self.report(key, value, f"at most {most}")
+
+    def build_list(self, kind: Any, value: Any, key: str) -> Any:
+        """Return a list whose items are all of one kind."""
+        if not isinstance(value, list):
+            self.report(key, value, "a list")
+            return None
+        return [self.build(kind, item, f"{key}[{at}]") for at, item in enumerate(value)]
+
+    def build_dict(self, kind: Any, value: Any, key: str) -> Any:
+        """Return a table of named values of one kind."""
+        if not isinstance(value, dict):
+            self.report(key, value, "a table")
+            return None
+        return {name: self.build(kind, item, join(key, name)) for name, item in value.items()}
+
+    def build_enum(self, kind: type[Enum], value: Any, key: str) -> Any:
+        """Return a member of an enumeration."""
+        names = [member.value for member in kind]
+        if value not in names:
+            self.report(key, value, f"one of {', '.join(names)}")
+            return None
+        return kind(value)
+
+
+def join(key: str, name: str) -> str:
+    """Return a dotted key."""
+    return f"{key}.{name}" if key else name
+
+
+def check_rules(checker: Checker, deployment: Deployment) -> None:
+    """Report values that are each allowed but contradict one another."""
+    domains = deployment.failure_domains
+    if not domains or len(set(domains)) != len(domains):
+        checker.report("failure_domains", domains, "distinct names, at least one")
+    for name, trainer in deployment.trainers.items():
+        key = f"trainers.{name}"
+        pool = deployment.pools.get(trainer.pool)
+        if pool is None:
+            checker.report(f"{key}.pool", trainer.pool, "a pool of this file")
+        elif trainer.model not in pool.models:
+            checker.report(f"{key}.model", trainer.model, f"a model of pool {trainer.pool}")
+        if trainer.scorer and trainer.scorer not in deployment.services:
+            checker.report(f"{key}.scorer", trainer.scorer, "a service of this file")
+    for name, service in deployment.services.items():
+        for at, route in enumerate(service.routes):
+            check_route(checker, f"services.{name}.routes[{at}]", route)
+    models = [model for pool in deployment.pools.values() for model in pool.models]
+    if len(set(models)) != len(models):
+        checker.report("pools", models, "each model in one pool only")
+    control = deployment.control
+    if control.sync_ms * 2 > control.lease_ms:
+        checker.report("control.sync_ms", control.sync_ms, "at most half of control.lease_ms")
+
+
+def check_route(checker: Checker, key: str, route: Any) -> None:
+    """Report a route whose values contradict one another."""
+    if not route.path.startswith("/"):
+        checker.report(f"{key}.path", route.path, "a path that begins with /")
+    if route.hedge_after_ms and not route.idempotent:
+        checker.report(f"{key}.hedge_after_ms", route.hedge_after_ms, "0, as calls may not repeat")
+    if route.hedge_after_ms >= route.timeout_ms:
+        checker.report(f"{key}.hedge_after_ms", route.hedge_after_ms, "less than timeout_ms")
+
+
+def parse_toml(text: str, file: str) -> dict[str, Any]:
+    """Parse TOML; raise SettingsError with the parser's position."""
+    try:
+        return tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError([Problem(file, "", None, f"TOML ({error})")]) from error
+
+
+def merge(base: dict[str, Any], overlay: dict[str, Any]) -> dict[str, Any]:
+    """Return the base with the overlay's values laid over it."""
+    merged = dict(base)
+    for name, value in overlay.items():
+        below = merged.get(name)
+        both_tables = isinstance(below, dict) and isinstance(value, dict)
+        merged[name] = merge(below, value) if both_tables else value  # type: ignore[arg-type]
+    return merged
+
+
+def check_overlay(
+    base: dict[str, Any], overlay: dict[str, Any], file: str, site: str
+) -> list[Problem]:
+    """Return what an overlay may not state."""
+    checker = Checker(file)
+    if overlay.get(OVERLAY_SITE_KEY) != site:
+        checker.report(OVERLAY_SITE_KEY, overlay.get(OVERLAY_SITE_KEY), f"the site {site!r}")
+    domains = base.get("failure_domains")
+    if isinstance(domains, list) and site not in domains:
+        checker.report(OVERLAY_SITE_KEY, site, f"one of {', '.join(map(str, domains))}")
+    for key in FIXED_KEYS:
+        if key in overlay:
+            checker.report(key, overlay[key], "no value, as all sites share it")
+    for table in NAMED_TABLES:
+        names = overlay.get(table)
+        for name in names if isinstance(names, dict) else ():
+            if name not in base.get(table, {}):
+                checker.report(f"{table}.{name}", names[name], f"one of the base's {table}")
+    return checker.problems
+
+
+def parse_deployment(base: str, overlay: str | None, site: str, file: str = "base") -> Deployment:
+    """Return the deployment as one site sees it.
+
+    :param base: text of the base file.
+    :param overlay: text of the site's overlay, None if the site has none.
+    :param site: failure domain of the reader.
+    :param file: name to use in problems.
+    """
+    document = parse_toml(base, file)
+    problems = []
+    if overlay is not None:
+        overlay_file = f"{file}+{site}"
+        changes = parse_toml(overlay, overlay_file)
+        problems = check_overlay(document, changes, overlay_file, site)
+        changes.pop(OVERLAY_SITE_KEY, None)
+        document = merge(document, changes)
+        file = overlay_file
+    checker = Checker(file)
+    deployment = checker.build(Deployment, document, "")
+    if deployment is not None and not checker.problems:
+        check_rules(checker, deployment)
+    problems += checker.problems
+    if problems:
+        raise SettingsError(problems)
+    return deployment
+
+
+def check_deployment(base: str, overlays: dict[str, str]) -> dict[str, Deployment]:
+    """Return the deployment as each site sees it; raise one error with every problem.
+
+    :param base: text of the base file.
+    :param overlays: text of each overlay by site.
+    """
+    problems: list[Problem] = []
+    views: dict[str, Deployment] = {}
+    try:
+        base_view = parse_deployment(base, None, "")
+    except SettingsError as error:
+        problems += error.problems
+        base_view = None
+    for site, overlay in overlays.items():
+        try:
+            views[site] = parse_deployment(base, overlay, site)
+        except SettingsError as error:
+            repeated = {(problem.key, problem.expected) for problem in problems}
+            problems += [p for p in error.problems if (p.key, p.expected) not in repeated]
+    if problems:
+        raise SettingsError(problems)
+    if base_view is not None:
+        for site in base_view.failure_domains:
+            views.setdefault(site, base_view)
+    return views
+
+
+def load_deployment(base: Path, overlays: list[Path]) -> tuple[str, dict[str, str]]:
+    """Read and check a base file and its overlays; return their texts, overlays by site."""
+    texts = {}
+    for path in overlays:
+        text = read_text(path)
+        site = parse_toml(text, str(path)).get(OVERLAY_SITE_KEY)
+        if not isinstance(site, str):
+            raise SettingsError([Problem(str(path), OVERLAY_SITE_KEY, site, "the site's name")])
+        texts[site] = text
+    base_text = read_text(base)
+    check_deployment(base_text, texts)
+    return base_text, texts
+
+
+def load_process(path: Path) -> ProcessSettings:
+    """Read and check the settings of one process."""
+    checker = Checker(str(path))
+    settings = checker.build(ProcessSettings, parse_toml(read_text(path), str(path)), "")
+    if settings is not None:
+        check_process(checker, settings)
+    if checker.problems:
+        raise SettingsError(checker.problems)
+    return settings
+
+
+def check_process(checker: Checker, settings: ProcessSettings) -> None:
+    """Report process settings that cannot be used."""
+    addresses = [("listen", settings.listen), *(("control", a) for a in settings.control)]
+    addresses += [(f"replicas.{name}", address) for name, address in settings.replicas.items()]
+    for key, address in addresses:
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            checker.report(key, address, "host:port")
+    if settings.log_format not in ("json", "text"):
+        checker.report("log_format", settings.log_format, "json or text")
+    upstream = settings.upstream
+    if upstream is not None and bool(upstream.pool) == bool(upstream.service):
+        checker.report("upstream", upstream.pool, "either a pool or a service")
+    if settings.replicas and len(settings.replicas) not in (1, 3, 5, 7):
+        checker.report("replicas", sorted(settings.replicas), "1, 3, 5 or 7 replicas")
+    if settings.replicas and settings.name not in settings.replicas:
+        checker.report("name", settings.name, "one of the replicas")
+
+
+def read_text(path: Path) -> str:
+    """Read a settings file."""
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([Problem(str(path), "", None, f"a readable file ({error})")]) from error
--- /dev/null
+++ b/src/apricotvale/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, for trials and tests."""
--- /dev/null
+++ b/src/apricotvale/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Weights: the replicated rollout of versions to engines."""
