Prove the control replicas under every fault at every step

Cause: a read taken by a new leader before its first commit kept has_work true, so that the replica's loop never slept and starved the event loop; a history test hung on it for 300 s. Ruled out: a slow checker (one history takes 0.05 s) and the fake disks.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -200,7 +200,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("example", choices=["tiszavolgyi", "terugbel"], nargs="?")
     parser.add_argument("--folder", type=Path)
-    parser.add_argument("--steps", type=int, default=6)
+    parser.add_argument("--steps", type=int, default=12)
     parser.add_argument("--no-kills", action="store_true")
     options = parser.parse_args()
     example = options.example or "tiszavolgyi"
--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -33,6 +33,7 @@
 
 MAX_APPEND_BYTES = 512 * 1024
 LEARNER_LAG_ENTRIES = 64
+ELECTION_SPREAD = 0.5
 
 
 class Role(StrEnum):
@@ -47,8 +48,8 @@
 class Timing:
     """Protocol periods in seconds."""
 
-    heartbeat_s: float = 0.05
-    election_s: float = 0.3
+    heartbeat_s: float = 0.1
+    election_s: float = 0.5
     install_s: float = 2.0
 
 
@@ -153,7 +154,7 @@
 
     def later(self, now: float) -> float:
         """Return a moment one randomised election timeout ahead."""
-        return now + self.timing.election_s * (1.0 + self.jitter())
+        return now + self.timing.election_s * (1.0 + ELECTION_SPREAD * self.jitter())
 
     def note_groups(self, entries: list[Entry]) -> None:
         """Remember the groups that entries carry, in force from the moment they are appended."""
@@ -624,7 +625,7 @@
     def take_ready(self, now: float) -> Ready:
         """Return the work that has come up, and forget it."""
         if self.role is Role.LEADER and (
-            self.pending_reads or self.read_requested or self.unsent_entries()
+            self.may_send_reads() or self.read_requested or self.unsent_entries()
         ):
             self.read_requested = False
             self.broadcast(now)
@@ -638,13 +639,17 @@
         self.ready = Ready()
         return ready
 
+    def may_send_reads(self) -> bool:
+        """Return whether reads wait that the next heartbeat can confirm."""
+        return bool(self.pending_reads) and self.commit_index >= self.term_start_index
+
     def has_work(self) -> bool:
         """Return whether `take_ready` would return something without time passing."""
         ready = self.ready
         return bool(
             self.commit_index > self.applied_index
             or self.read_requested
-            or self.pending_reads
+            or self.may_send_reads()
             or ready.records
             or ready.late
             or ready.early
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from functools import partial
 from typing import Any
 
@@ -201,10 +202,8 @@
         """Handle events and the passing of time."""
         while True:
             if not self.events and not self.node.has_work():
-                try:
+                with suppress(TimeoutError):
                     await asyncio.wait_for(self.wake.wait(), TICK_S)
-                except TimeoutError:
-                    pass
             self.wake.clear()
             now = time.monotonic()
             self.node.tick(now)
--- a/src/apricotvale/daemons/rpc.py
+++ b/src/apricotvale/daemons/rpc.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.config import Configuration
 from grpclib.const import Cardinality, Handler
 from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Server, Stream
 
 from apricotvale.codec import decode, encode
@@ -52,10 +54,11 @@
         self.on_peer = on_peer
 
     async def call(self, stream: Stream[Any, Any]) -> None:
-        """Answer one call."""
-        request = await stream.recv_message()
-        if request is not None:
-            await stream.send_message(await self.on_call(request))
+        """Answer one call; a caller that has gone gets no answer."""
+        with suppress(StreamTerminatedError):
+            request = await stream.recv_message()
+            if request is not None:
+                await stream.send_message(await self.on_call(request))
 
     async def peer(self, stream: Stream[Any, Any]) -> None:
         """Take a batch of peer messages."""
--- a/src/apricotvale/daemons/steps.py
+++ b/src/apricotvale/daemons/steps.py
@@ -6,6 +6,7 @@
 import json
 import time
 from collections import deque
+from contextlib import suppress
 from typing import Any
 
 import aiohttp
@@ -79,10 +80,8 @@
             tasks.start(self.fill_ledger())
             while True:
                 self.dispatch(tasks)
-                try:
+                with suppress(TimeoutError):
                     await asyncio.wait_for(self.wake.wait(), WAKE_S)
-                except TimeoutError:
-                    pass
                 self.wake.clear()
 
     # -- dispatch
--- a/src/apricotvale/daemons/trainers.py
+++ b/src/apricotvale/daemons/trainers.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from contextlib import suppress
 from typing import Any
 
 from aiohttp import web
@@ -253,10 +254,8 @@
 
 async def wait_for(event: asyncio.Event, timeout_s: float) -> None:
     """Wait for an event for a limited time."""
-    try:
+    with suppress(TimeoutError):
         await asyncio.wait_for(event.wait(), max(0.0, timeout_s))
-    except TimeoutError:
-        pass
 
 
 def trainer_routes(entry: Any) -> list[web.RouteDef]:
--- a/src/apricotvale/requests/claims.py
+++ b/src/apricotvale/requests/claims.py
@@ -169,7 +169,7 @@
 
     def sweep(self, now_ms: int) -> None:
         """Forget the oldest claims whose window has passed."""
-        expired = []
+        expired: list[str] = []
         for key, claim in self.state.claims.items():
             if claim.expires_at_ms > now_ms or len(expired) >= SWEEP_LIMIT:
                 break
--- a/src/apricotvale/requests/tokens.py
+++ b/src/apricotvale/requests/tokens.py
@@ -97,7 +97,7 @@
 
     def sweep(self, now: float) -> None:
         """Forget the oldest tokens whose window has passed."""
-        expired = []
+        expired: list[str] = []
         for token, record in self.records.items():
             if record.expires_at > now or len(expired) >= SWEEP_LIMIT:
                 break
--- a/src/apricotvale/settings/loader.py
+++ b/src/apricotvale/settings/loader.py
@@ -186,8 +186,9 @@
         if key in overlay:
             checker.report(key, overlay[key], "no value, as all sites share it")
     for table in NAMED_TABLES:
-        names = overlay.get(table)
-        for name in names if isinstance(names, dict) else ():
+        stated = overlay.get(table)
+        names = stated if isinstance(stated, dict) else {}
+        for name in names:
             if name not in base.get(table, {}):
                 checker.report(f"{table}.{name}", names[name], f"one of the base's {table}")
     return checker.problems
--- /dev/null
+++ b/tests/replicas.py
@@ -0,0 +1,396 @@
+"""Control replicas in one thread: real nodes, storage and state machine on fake disks and a bus.
+
+A fault is injected at one numbered step, which is a write to a disk or the sending of a message.
+"""
+
+from __future__ import annotations
+
+import errno
+import random
+from functools import partial
+
+from attrs import define, field
+
+from apricotvale.codec import decode, encode
+from apricotvale.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    EntryKind,
+    Group,
+    GroupMember,
+    HardState,
+    JoinRequest,
+    Snapshot,
+)
+from apricotvale.consensus.node import Node, NotLeader, Role, Timing
+from apricotvale.consensus.storage import Storage
+from apricotvale.control import commands as c
+from apricotvale.control.state import ControlState
+from apricotvale.exceptions import DiskError
+
+TICK_S = 0.02
+LATENCY_S = 0.001
+TIMING = Timing(heartbeat_s=0.1, election_s=0.5)
+CLIENT_PATIENCE_S = 1.0
+DOWN_S = 0.4
+CUT_S = 2.0
+FREEZE_S = 1.2
+DELAY_S = 1.0
+
+WRITE_FAULTS = ("crash before write", "torn write", "crash after sync", "disk error")
+SEND_FAULTS = (
+    "crash before send",
+    "message lost",
+    "message doubled",
+    "message delayed",
+    "message reordered",
+    "sender cut off",
+    "sender frozen",
+)
+
+
+class Crash(Exception):
+    """The replica's process ends here."""
+
+
+class MemoryDisk:
+    """Files that survive a crash as far as they were synced."""
+
+    def __init__(self):
+        self.files = {}
+        self.next_append = None
+
+    def read(self, name):
+        return bytes(self.files[name]) if name in self.files else None
+
+    def names(self):
+        return sorted(self.files)
+
+    def append(self, name, data):
+        kept = len(data)
+        fault, self.next_append = self.next_append, None
+        if fault == "disk error":
+            raise OSError(errno.ENOSPC, "no space left")
+        if fault == "crash before write":
+            raise Crash
+        if fault == "torn write":
+            kept //= 2
+        self.files.setdefault(name, bytearray()).extend(data[:kept])
+        if fault in ("torn write", "crash after sync"):
+            raise Crash
+
+    def replace(self, name, data):
+        self.files[name] = bytearray(data)
+
+    def truncate(self, name, size):
+        del self.files[name][size:]
+
+    def remove(self, name):
+        self.files.pop(name, None)
+
+
+@define
+class Injector:
+    """Shows one fault at each of the given steps; with none it only counts."""
+
+    faults: dict[int, str] = field(factory=dict)
+    armed: bool = False
+    kinds: list[str] = field(factory=list)
+    labels: list[str] = field(factory=list)
+
+    def at(self, kind, label):
+        if not self.armed:
+            return None
+        self.kinds.append(kind)
+        self.labels.append(label)
+        return self.faults.get(len(self.kinds) - 1)
+
+
+@define
+class Host:
+    """One replica and its disk."""
+
+    name: str
+    disk: MemoryDisk
+    node: Node | None = None
+    storage: Storage | None = None
+    state: ControlState | None = None
+    up_at: float = 0.0
+    frozen_until: float = 0.0
+    results: dict = field(factory=dict)
+    reads: dict = field(factory=dict)
+    inbox: list = field(factory=list)
+
+
+@define
+class Call:
+    """A client's command, repeated until it is answered."""
+
+    payload: bytes
+    result: object = None
+    where: tuple | None = None
+    since: float = 0.0
+    started: float = 0.0
+    finished: float = 0.0
+
+
+class Replicas:
+    """A group of replicas, its clients, and the faults between them."""
+
+    def __init__(self, names=("a", "b", "c"), seed=0, injector=None, formed=True):
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.injector = injector or Injector()
+        self.bus = []
+        self.sequence = 0
+        self.cut = {}
+        self.held = []
+        self.calls = []
+        self.matched = {}
+        self.hosts = {name: Host(name, MemoryDisk()) for name in names}
+        for host in self.hosts.values():
+            host.storage = Storage(host.disk, host.name)
+        if formed:
+            ids = {name: host.storage.meta.data_id for name, host in self.hosts.items()}
+            group = Group(tuple(GroupMember(name, ids[name], name) for name in names))
+            for host in self.hosts.values():
+                host.storage.save_snapshot(Snapshot(1, 1, 0, group, b""), HardState(1), [])
+        for host in self.hosts.values():
+            self.boot(host)
+
+    # -- hosts
+
+    def boot(self, host):
+        """Start a replica from its disk."""
+        host.storage = Storage(host.disk, host.name)
+        stored = host.storage.stored
+        host.state = ControlState()
+        host.state.restore(stored.snapshot.state if stored.snapshot else b"")
+        host.node = Node(
+            host.storage.meta.data_id,
+            stored,
+            TIMING,
+            partial(encode, kind=Group),
+            partial(decode, kind=Group),
+            self.rng.random,
+            self.now,
+            host.name,
+        )
+        host.results, host.reads, host.inbox = {}, {}, []
+
+    def crash(self, host, down_s=DOWN_S):
+        """End a replica's process; it starts again later."""
+        host.node = None
+        host.up_at = self.now + down_s
+
+    def wipe(self, host):
+        """Replace a replica's machine by one with an empty disk."""
+        host.disk = MemoryDisk()
+        self.crash(host, 0.0)
+
+    def leader(self):
+        """Return the leader of the newest term."""
+        leaders = [
+            host for host in self.hosts.values() if host.node and host.node.role is Role.LEADER
+        ]
+        return max(leaders, key=lambda host: host.node.term, default=None)
+
+    # -- time
+
+    def run(self, seconds):
+        """Let time pass."""
+        until = self.now + seconds
+        while self.now < until:
+            self.tick()
+
+    def run_until(self, condition, seconds=20.0):
+        """Let time pass until a condition holds; return whether it does."""
+        until = self.now + seconds
+        while self.now < until:
+            if condition():
+                return True
+            self.tick()
+        return condition()
+
+    def tick(self):
+        """Do one tick of every replica and client."""
+        self.now += TICK_S
+        for host in self.hosts.values():
+            if host.node is None and self.now >= host.up_at:
+                self.boot(host)
+            if host.node is not None and self.now >= host.frozen_until:
+                self.wake(host)
+        for _ in range(4):
+            self.deliver()
+        for call in self.calls:
+            self.drive(call)
+
+    def wake(self, host):
+        """Let a replica see the time and what arrived meanwhile."""
+        host.node.tick(self.now)
+        if host.storage.stored.empty and host.node.log.last_index == 0:
+            for peer in self.hosts.values():
+                if peer is not host and peer.node and peer.node.role is Role.LEADER:
+                    join = JoinRequest(host.node.data_id, "", host.name, host.name)
+                    peer.inbox.append(join)
+        inbox, host.inbox = host.inbox, []
+        for message in inbox:
+            host.node.receive(message, self.now)
+        self.carry_out(host)
+
+    def deliver(self):
+        """Hand over the messages that are due, and let their receivers act."""
+        due = [item for item in self.bus if item[0] <= self.now]
+        self.bus = [item for item in self.bus if item[0] > self.now]
+        for _, _, source, message in sorted(due, key=lambda item: item[:2]):
+            for host in self.hosts.values():
+                if host.node is None or host.node.data_id != message.target:
+                    continue
+                if self.is_cut(source, host.name):
+                    continue
+                host.inbox.append(message)
+        for host in self.hosts.values():
+            if host.inbox and host.node and self.now >= host.frozen_until:
+                self.wake(host)
+
+    def is_cut(self, one, other):
+        return any(self.now < self.cut.get(name, 0.0) for name in (one, other))
+
+    # -- what the daemon does
+
+    def carry_out(self, host):
+        """Persist, send and apply as the daemon does, with the injected fault."""
+        try:
+            while host.node is not None and host.node.has_work():
+                self.act(host, host.node.take_ready(self.now))
+            if host.node is not None:
+                self.act(host, host.node.take_ready(self.now))
+        except (Crash, DiskError):
+            self.crash(host)
+
+    def act(self, host, ready):
+        for message in ready.early:
+            self.send(host, message)
+        if ready.install is not None:
+            host.storage.save_snapshot(ready.install, host.node.hard_state, [])
+            host.state.restore(ready.install.state)
+        if ready.records:
+            last = (host.node.log.last_index, host.node.log.last_term)
+            kinds = "+".join(type(record).__name__ for record in ready.records[:2])
+            host.disk.next_append = self.injector.at("write", kinds)
+            host.storage.append(ready.records)
+            host.node.synced(*last)
+        for message in ready.late:
+            self.send(host, message)
+        for entry in ready.committed:
+            result = host.state.apply(entry)
+            host.results[entry.index, entry.term] = result
+        for ticket in ready.reads:
+            host.reads[ticket] = True
+        for ticket in ready.failed_reads:
+            host.reads[ticket] = False
+
+    def send(self, host, message):
+        """Put a message on the bus, unless the injected fault says otherwise."""
+        fault = self.injector.at("send", self.label(message))
+        if fault == "crash before send":
+            raise Crash
+        if fault == "message lost":
+            return
+        if fault == "sender cut off":
+            self.cut[host.name] = self.now + CUT_S
+            return
+        if fault == "sender frozen":
+            host.frozen_until = self.now + FREEZE_S
+        delay = DELAY_S if fault == "message delayed" else LATENCY_S
+        if fault == "message reordered":
+            delay = TICK_S * 3
+        self.post(host.name, message, delay)
+        if fault == "message doubled":
+            self.post(host.name, message, TICK_S * 2)
+
+    def label(self, message):
+        """Return what a message is, with heartbeats told apart."""
+        if isinstance(message, AppendRequest) and not message.entries:
+            return "heartbeat"
+        if isinstance(message, AppendReply):
+            known = self.matched.get(message.source)
+            self.matched[message.source] = message.index
+            return "heartbeat reply" if known == message.index else "append reply"
+        return type(message).__name__
+
+    def post(self, source, message, delay):
+        self.sequence += 1
+        self.bus.append((self.now + delay, self.sequence, source, message))
+
+    def compact(self, host):
+        """Save a snapshot as the daemon does."""
+        node = host.node
+        index = node.applied_index
+        entry = node.log.slice(index, index)[0]
+        group = [held for at, held in node.groups if at <= index][-1]
+        snapshot = Snapshot(index, entry.term, entry.at_ms, group, host.state.dump())
+        host.storage.save_snapshot(snapshot, node.hard_state, list(node.compact(snapshot)))
+
+    # -- clients
+
+    def call(self, command):
+        """Start a command of a client that repeats it until it is answered."""
+        call = Call(encode(command, c.Command), started=self.now, since=self.now)
+        self.calls.append(call)
+        return call
+
+    def drive(self, call):
+        """Let a client look for its answer, or send its command again."""
+        if call.result is not None:
+            return
+        if call.where is not None:
+            name, key = call.where
+            host = self.hosts[name]
+            if host.node is not None and key in host.results:
+                call.result, call.finished = host.results[key], self.now
+                return
+            if self.now < call.since + CLIENT_PATIENCE_S:
+                return
+        for host in self.reachable():
+            if host.node.role is Role.LEADER:
+                entry = host.node.propose(call.payload, int(self.now * 1000))
+                if not isinstance(entry, NotLeader):
+                    call.where, call.since = (host.name, (entry.index, entry.term)), self.now
+                    self.carry_out(host)
+                    return
+
+    def reachable(self):
+        return [
+            host
+            for host in self.hosts.values()
+            if host.node is not None
+            and self.now >= host.frozen_until
+            and self.now >= self.cut.get(host.name, 0.0)
+        ]
+
+    def read(self, host):
+        """Ask a replica for a confirmed read; return the ticket, None if it does not lead."""
+        ticket = host.node.read()
+        return None if isinstance(ticket, NotLeader) else ticket
+
+    def settle(self):
+        """Heal everything and wait until all replicas agree; return whether they do."""
+        self.run(CUT_S)
+        return self.run_until(self.agree, 10.0)
+
+    def agree(self):
+        nodes = [host.node for host in self.hosts.values()]
+        if any(node is None for node in nodes) or self.leader() is None:
+            return False
+        applied = {node.applied_index for node in nodes}
+        last = {node.log.last_index for node in nodes}
+        return len(applied) == 1 and applied == last
+
+    def states(self):
+        return [host.state.dump() for host in self.hosts.values()]
+
+
+def committed_commands(host):
+    """Return the number of commands in a replica's log."""
+    return sum(entry.kind is EntryKind.COMMAND for entry in host.node.log.entries)
