--- a/src/apricotvale/daemons/trainers.py
+++ b/src/apricotvale/daemons/trainers.py
@@ -35,6 +35,7 @@
 POLL_S = 0.2
 FETCH_S = 1.0
 FETCH_TRIES = 2
+MAX_LOST_ROUNDS = 16
 DEFAULT_STEP_MS = 1_200_000
 
 
@@ -118,6 +119,7 @@
         """Hand over until something is ready or the waiting time is over."""
         key = f"{pull.trainer}/{pull.step}"
         lost: list[str] = []
+        rounds = 0
         while True:
             if not self.entry.link.is_fresh:
                 return not_run(Reason.NO_QUORUM, "control does not confirm the view", 1.0)
@@ -130,6 +132,9 @@
                 reason = Reason.STALE_PULL if result.known else Reason.UNKNOWN_STEP
                 return not_run(reason, f"the last pull was {result.pull}")
             payloads, lost = await self.collect(result.handed)
+            rounds += bool(lost)
+            if rounds > MAX_LOST_ROUNDS:
+                return not_run(Reason.UPSTREAM_LOST, "payloads are lost faster than made", 1.0)
             if lost:
                 continue
             waiting = time.monotonic() < pull.wait_until
