--- a/tests/trainer.py
+++ b/tests/trainer.py
@@ -65,7 +65,9 @@
     def interface(self):
         """Return a fresh entry: it remembers nothing."""
         entry = SimpleNamespace(
-            control=self, link=SimpleNamespace(is_fresh=True), fill_event=lambda key: asyncio.Event()
+            control=self,
+            link=SimpleNamespace(is_fresh=True),
+            fill_event=lambda key: asyncio.Event(),
         )
         return Interface(entry, self.payloads)
 
