Leave an engine's tokens in the socket between two reads

Cause: each small packet still woke the event loop and the HTTP parser. Ruled out: a longer period for interactive streams; 25 ms is the bound. Change: reading is paused for the period and the socket is then read at one go.

--- a/src/apricotvale/daemons/sidecar.py
+++ b/src/apricotvale/daemons/sidecar.py
@@ -317,7 +317,7 @@
             if upstream.status != 200:
                 raise GarbledAnswerError(f"status {upstream.status}")
             try:
-                async for tokens in token_batches(upstream.content, TokenParser()):
+                async for tokens in token_batches(upstream, TokenParser()):
                     made.add(tokens)
                     if body.get("stream"):
                         response = response or await self.begin_stream(request)
@@ -541,7 +541,7 @@
         async with self.post_engine(engine_body) as upstream:
             if upstream.status != 200:
                 raise GarbledAnswerError(f"status {upstream.status}")
-            async for tokens in token_batches(upstream.content, parser, SAMPLE_COALESCE_S):
+            async for tokens in token_batches(upstream, parser, SAMPLE_COALESCE_S):
                 made.add(tokens)
 
     async def on_payload(self, request: web.Request) -> web.Response:
--- a/src/apricotvale/daemons/streams.py
+++ b/src/apricotvale/daemons/streams.py
@@ -102,7 +102,7 @@
 
 
 async def token_batches(
-    content: aiohttp.StreamReader, parser: TokenParser, bound_s: float = COALESCE_S
+    response: aiohttp.ClientResponse, parser: TokenParser, bound_s: float = COALESCE_S
 ) -> AsyncIterator[list[Token]]:
     """Yield tokens in batches, none held back longer than the bound.
 
@@ -110,18 +110,31 @@
     period, so that the cost of waking up is shared by the tokens of the period. A stream without
     its end marker raises StreamCutError.
 
-    :param content: the engine's response body.
+    :param response: the engine's response.
     :param bound_s: longest time for which a token waits for others, in seconds.
     """
     while not parser.done:
-        data = await content.readany()
+        data = await response.content.readany()
         if not data:
             raise StreamCutError("the engine's stream ended early")
         tokens = parser.feed(data)
         if tokens:
             yield tokens
             if not parser.done:
-                await asyncio.sleep(bound_s)
+                await let_gather(response, bound_s)
+
+
+async def let_gather(response: aiohttp.ClientResponse, seconds: float) -> None:
+    """Leave what arrives in the socket for a while, so that it is then read at one go."""
+    transport = response.connection.transport if response.connection else None
+    if transport is None:
+        await asyncio.sleep(seconds)
+        return
+    transport.pause_reading()
+    try:
+        await asyncio.sleep(seconds)
+    finally:
+        transport.resume_reading()
 
 
 def sse(event: dict[str, Any]) -> bytes:
