Let a control replica sleep until time matters to it

Cause: each replica woke up 50 times a second to look at the clock. Ruled out: fewer heartbeats, which would slow the finding of a lost leader. Change: it sleeps until the next heartbeat or election is due, or an event comes. Before: idle leader 7.8 % of a core, followers 5.4 %. After: 6.0 % and 3.1 %. Conclusion: kept; the rest is heartbeats and syncs.

--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -203,6 +203,10 @@
         elif now >= self.election_at:
             self.campaign(now, pre=True)
 
+    def due_at(self) -> float:
+        """Return when time next matters to this replica."""
+        return self.heartbeat_at if self.role is Role.LEADER else self.election_at
+
     def lead(self, now: float) -> None:
         """Step down when a quorum is silent, else send heartbeats and tend the group."""
         if not self.quorum_heard(now):
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -8,7 +8,6 @@
 from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import suppress
 from functools import partial
 from typing import Any
 
@@ -33,7 +32,8 @@
 from apricotvale.daemons.runtime import TaskGroup
 from apricotvale.exceptions import DiskError
 
-TICK_S = 0.02
+PEER_PAUSE_S = 0.02
+MAX_WAIT_S = 0.25
 PEER_TIMEOUT_S = 1.0
 PEER_QUEUE = 256
 PROBE_S = 0.2
@@ -93,7 +93,7 @@
             try:
                 await self.client.send_peer(batch, PEER_TIMEOUT_S)
             except Exception:
-                await asyncio.sleep(TICK_S)
+                await asyncio.sleep(PEER_PAUSE_S)
 
 
 class Replica:
@@ -202,8 +202,7 @@
         """Handle events and the passing of time."""
         while True:
             if not self.events and not self.node.has_work():
-                with suppress(TimeoutError):
-                    await asyncio.wait_for(self.wake.wait(), TICK_S)
+                await self.wait_for_events()
             self.wake.clear()
             now = time.monotonic()
             self.node.tick(now)
@@ -212,6 +211,16 @@
             await self.carry_out(self.node.take_ready(now))
             self.note_role()
 
+    async def wait_for_events(self) -> None:
+        """Wait for an event, or until time matters to the node."""
+        loop = asyncio.get_running_loop()
+        wait_s = min(MAX_WAIT_S, self.node.due_at() - time.monotonic())
+        timer = loop.call_later(max(0.0, wait_s), self.wake.set)
+        try:
+            await self.wake.wait()
+        finally:
+            timer.cancel()
+
     async def refuse_all(self) -> None:
         """Answer every call as one who does not lead, after the disk failed."""
         while True:
