--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check bench soak
+.PHONY: demo test check bench faults soak
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -19,3 +19,12 @@
 	$(BIN)/black --check --quiet src tests scripts bench
 	$(BIN)/ruff check src tests scripts bench
 	$(BIN)/mypy
+
+faults: $(VENV)/.installed
+	$(BIN)/python -m tests.faults > docs/FAULTS.md
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m bench.slopes
+
+soak: $(VENV)/.installed
+	$(BIN)/python -m tests.soak
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -29,6 +29,7 @@
 from apricotvale.control import commands as c
 from apricotvale.control.configuration import ConfigDocument
 from apricotvale.control.state import ControlState
+from apricotvale.daemons.link import ControlClient, ControlLink
 from apricotvale.membership.roster import Kind, Member, RosterDelta, RosterView
 from apricotvale.requests.claims import Claim, Outcome, OutcomeRecord
 from apricotvale.requests.routing import Router
@@ -99,9 +100,7 @@
     sync = calls.Sync(member(1), 100, 3, 3, False, 1000)
     idle = calls.SyncReply(RosterDelta(100), "control-1", confirmed=True)
     moved = calls.SyncReply(RosterDelta(101, [member(2)]), "control-1", confirmed=True)
-    change = calls.SyncReply(
-        RosterDelta(100), "control-1", 4, ConfigDocument(text), confirmed=True
-    )
+    change = calls.SyncReply(RosterDelta(100), "control-1", 4, ConfigDocument(text), confirmed=True)
     full = calls.SyncReply(
         RosterDelta(100, [member(at) for at in range(1050)], full=True), "control-1"
     )
@@ -172,7 +171,10 @@
     found["outcome"] = {"log_bytes": len(entry_of(1, outcomes(1)).payload)}
     view = RosterView()
     tracemalloc.start()
-    delta = decode(encode(RosterDelta(5, [member(at) for at in range(1050)], full=True), RosterDelta), RosterDelta)
+    delta = decode(
+        encode(RosterDelta(5, [member(at) for at in range(1050)], full=True), RosterDelta),
+        RosterDelta,
+    )
     view.apply(delta)
     found["view_member_bytes"] = round(tracemalloc.get_traced_memory()[0] / 1050)
     tracemalloc.stop()
@@ -300,6 +302,77 @@
     }
 
 
+async def watch(system: System, count: int) -> dict:
+    """Members that only sync, and a configuration change that reaches them all."""
+    links, tasks = [], []
+    in_force = {}
+
+    def join(at):
+        name = f"member-{at}"
+
+        def on_reply(reply):
+            if reply.document is not None:
+                in_force[name] = reply.revision
+
+        described = Member(name, f"{at:032x}", Kind.SERVICE, "10.0.0.1:1", "gent-a", "queue-app")
+        link = ControlLink(
+            system.control.split(","), lambda: described, lambda: in_force.get(name, 0), on_reply
+        )
+        link.sync_ms = 1000
+        return link
+
+    for at in range(count):
+        links.append(join(at))
+        tasks.append(asyncio.create_task(links[-1].run()))
+        await asyncio.sleep(0.01)
+    await asyncio.gather(*(link.confirmed.wait() for link in links))
+    leader = (
+        await ControlClient(system.control.split(",")).call(
+            calls.Query("group"), time.monotonic() + 10
+        )
+    ).leader
+    pid = system.processes[leader].pid
+    await asyncio.sleep(2.0)
+    before = cpu_s(pid)
+    await asyncio.sleep(8.0)
+    share = (cpu_s(pid) - before) / 8.0
+    client = ControlClient(system.control.split(","))
+    base = (system.example / "base.toml").read_text()
+    revision = max(in_force.values())
+    before, started = cpu_s(pid), time.monotonic()
+    command = c.ApplyConfig("bench", revision, ConfigDocument(base + "# changed\n"), "bench")
+    await client.propose(command, started + 10)
+    while min(in_force.values()) <= revision:
+        await asyncio.sleep(0.005)
+    in_force_s = time.monotonic() - started
+    await asyncio.sleep(0.5)
+    change_cpu = cpu_s(pid) - before - share * (time.monotonic() - started)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    client.close()
+    return {
+        "leader_core_percent": round(share * 100, 2),
+        "change_in_force_everywhere_s": round(in_force_s, 3),
+        "leader_cpu_ms_a_change": round(change_cpu * 1000),
+        "leader_memory_mb": round(memory_mb(pid), 1),
+    }
+
+
+def watchers() -> dict:
+    """The leader's cost against the number of members."""
+    found = {}
+    for count in (10, 100, 300):
+        with tempfile.TemporaryDirectory() as folder:
+            system = System("terugbel", Path(folder))
+            system.start_control()
+            base = system.example / "base.toml"
+            system.run("config", "apply", str(base), "--control", system.control)
+            found[str(count)] = asyncio.run(watch(system, count))
+            system.stop()
+    return found
+
+
 def main() -> None:
     events.configure("bench", level="CRITICAL")
     parts = {
@@ -308,6 +381,7 @@
         "state": state,
         "commits": commits,
         "live": live,
+        "watchers": watchers,
     }
     found = json.loads(FIGURES.read_text()) if FIGURES.exists() else {}
     for name in sys.argv[1:] or parts:
--- a/src/apricotvale/daemons/entry.py
+++ b/src/apricotvale/daemons/entry.py
@@ -301,9 +301,7 @@
         """Return the engines that serve a model, as far as this entry uses them."""
         return self.candidates(Kind.ENGINE, model, lambda member: model in member.models)
 
-    def candidates(
-        self, kind: Kind, name: str, fits: Callable[[Member], bool]
-    ) -> list[Member]:
+    def candidates(self, kind: Kind, name: str, fits: Callable[[Member], bool]) -> list[Member]:
         """Return the serving members of a kind that fit, found anew when the view changed."""
         changes, found = self.found.get((kind, name), (-1, []))
         if changes == self.view.changes:
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -129,6 +129,7 @@
         self.applied_bytes = 0
         self.applied_entries = 0
         self.tasks = TaskGroup()
+        self.seen_group = Group()
         self.seen_role: tuple[Role, int, str] = (Role.FOLLOWER, 0, "")
         self.node = self.make_node(storage.stored)
 
@@ -341,6 +342,11 @@
                 events.ROLE_CHANGED, role=node.role, term=node.term, leader=node.leader_name
             )
 
+        if node.group != self.seen_group:
+            self.seen_group = node.group
+            members = {member.name: member.voter for member in node.group.members}
+            events.emit(events.GROUP_CHANGED, voters=members)
+
     # -- entering a group
 
     def is_empty(self) -> bool:
--- a/tests/claims.py
+++ b/tests/claims.py
@@ -86,16 +86,15 @@
 
 
 def crossings(name):
-    """Return the crossings of a flow when nothing fails, and some behind them."""
+    """Return the crossings of a flow when nothing fails."""
     world, result = run_flow(name, {})
     assert result == RESULT_HELD, result
     return list(enumerate(world.labels))
 
 
 def single_faults(name):
-    """Return every fault at every crossing, also those that a first fault brings about."""
-    found = [(at, fault) for at, kind in crossings(name) for fault in faults_of(kind)]
-    return found
+    """Return every fault at every crossing."""
+    return [(at, fault) for at, kind in crossings(name) for fault in faults_of(kind)]
 
 
 def pairs_of_faults(name):
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,10 +12,10 @@
 
 from attrs import define, field
 
-from apricotvale.control.state import ControlState
 from apricotvale.codec import encode
 from apricotvale.consensus.messages import Entry, EntryKind
 from apricotvale.control import commands as c
+from apricotvale.control.state import ControlState
 from apricotvale.daemons import headers as h
 from apricotvale.daemons.claiming import RESOLVE_PATH, Claimant
 from apricotvale.daemons.dispatch import Dispatcher
