Do not lose a cancellation, and stay away after leaving

Cause: asyncio.wait_for of Python 3.11 returns normally when a cancellation meets the event, so a step's task went on for ever and a stopping entry hung; and the sync loop announced an entry again right after it had left. Both were found by tests over HTTP that did not end. Ruled out: the drain itself (no request was in flight) and grpclib's cancellation. Change: events are awaited under asyncio.timeout; the sync loop ends before the member leaves. Before: a stop with an open step hung; a left entry stayed listed until its lease ran out. Conclusion: no wait_for is left in the package.

--- a/src/apricotvale/daemons/control.py
+++ b/src/apricotvale/daemons/control.py
@@ -20,7 +20,7 @@
 from apricotvale.control.configuration import ConfigApplied, ConfigConflict
 from apricotvale.daemons.replica import LostLeadership, Replica
 from apricotvale.daemons.rpc import ControlService, make_server
-from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes
+from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes, wait_event
 from apricotvale.exceptions import SettingsError
 from apricotvale.hashing import hash64
 from apricotvale.membership.roster import Departure, Kind, Member
@@ -230,9 +230,7 @@
             remaining = deadline - time.monotonic()
             if remaining <= 0:
                 return
-            try:
-                await asyncio.wait_for(self.changed.wait(), remaining)
-            except TimeoutError:
+            if not await wait_event(self.changed, remaining):
                 return
 
     def interest(self, member: Member) -> int:
--- a/src/apricotvale/daemons/entry.py
+++ b/src/apricotvale/daemons/entry.py
@@ -20,7 +20,7 @@
 from apricotvale.daemons.claiming import Claimant
 from apricotvale.daemons.dispatch import Dispatcher, Sent
 from apricotvale.daemons.link import ControlClient, ControlLink
-from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes
+from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes, wait_event
 from apricotvale.daemons.steps import StepRunner
 from apricotvale.daemons.streams import STREAM_END
 from apricotvale.daemons.trainers import trainer_routes
@@ -40,6 +40,7 @@
 )
 from apricotvale.settings.schema import IslandPolicy, Routing
 
+REQUEST_ID = web.RequestKey("request_id", str)
 PAYLOAD_BYTES = 256 * 1024 * 1024
 MAX_TOKENS = 1_000_000
 DEFAULT_MAX_TOKENS = 16
@@ -88,11 +89,12 @@
             self.tasks,
         ):
             events.emit(events.STARTED, listen=self.settings.listen)
-            self.tasks.start(self.link.run())
+            sync_task = self.tasks.start(self.link.run())
             self.tasks.start(self.upstreams.watch())
             await stop.wait()
             events.emit(events.STOPPING)
             self.draining = True
+            sync_task.cancel()
             await self.link.leave()
             await server.stop_accepting()
             await self.finish_requests()
@@ -103,9 +105,7 @@
     async def finish_requests(self) -> None:
         """Wait for the requests in flight, within the drain deadline."""
         drain_ms = self.deployment.limits.drain_ms if self.deployment else 0
-        try:
-            await asyncio.wait_for(self.idle.wait(), drain_ms / 1000)
-        except TimeoutError:
+        if not await wait_event(self.idle, drain_ms / 1000):
             events.emit(events.CANCELLED, why="drain deadline", active=self.active)
 
     def make_app(self) -> web.Application:
@@ -213,7 +213,7 @@
     @web.middleware
     async def middleware(self, request: web.Request, handler: Any) -> web.StreamResponse:
         """Count a request, refuse it if the entry does not serve, and answer bad input."""
-        request["id"] = request.headers.get(h.REQUEST_ID) or uuid.uuid4().hex
+        request[REQUEST_ID] = request.headers.get(h.REQUEST_ID) or uuid.uuid4().hex
         if request.path in ("/healthz", "/readyz"):
             return await handler(request)
         refusal = self.refuse_early()
@@ -231,7 +231,7 @@
         except BadInputError as error:
             return self.refuse(request, not_run(Reason.BAD_REQUEST, str(error)))
         except asyncio.CancelledError:
-            events.emit(events.CANCELLED, request=request["id"], why="the caller went away")
+            events.emit(events.CANCELLED, request=request[REQUEST_ID], why="the caller went away")
             raise
         finally:
             self.metrics.timing(metrics.REQUEST_MS, (time.monotonic() - started) * 1000)
@@ -239,6 +239,10 @@
             if not self.active:
                 self.idle.set()
 
+    def request_id(self, request: web.Request) -> str:
+        """Return the id of a request, the caller's if it brought one."""
+        return request[REQUEST_ID]
+
     def refuse_early(self) -> Refusal | None:
         """Return why the entry does not serve now."""
         if self.deployment is None:
@@ -252,17 +256,17 @@
         """Return the answer for a refusal."""
         events.emit(
             events.REFUSED,
-            request=request["id"],
+            request=request[REQUEST_ID],
             reason=refusal.reason,
             ran=refusal.ran,
             detail=refusal.detail,
         )
         self.metrics.count(f"{metrics.REFUSALS}.{refusal.reason}")
-        fields = {h.REQUEST_ID: request["id"], h.RAN: refusal.ran.value}
+        fields = {h.REQUEST_ID: request[REQUEST_ID], h.RAN: refusal.ran.value}
         if refusal.retry_after_s is not None:
             fields[h.RETRY_AFTER] = str(max(1, round(refusal.retry_after_s)))
         return web.json_response(
-            refusal.problem(request["id"]),
+            refusal.problem(request[REQUEST_ID]),
             status=refusal.status,
             headers=fields,
             content_type=h.PROBLEM_TYPE,
@@ -288,7 +292,7 @@
     def answer(self, request: web.Request, sent: Answer, member: str) -> web.Response:
         """Return an upstream's whole answer."""
         fields = {
-            h.REQUEST_ID: request["id"],
+            h.REQUEST_ID: request[REQUEST_ID],
             h.UPSTREAM: member,
             h.RAN: Ran.RAN.value,
             "Content-Type": sent.content_type,
@@ -329,7 +333,7 @@
         outbound = Outbound(
             "/v1/completions",
             json.dumps(asked).encode(),
-            request["id"],
+            request[REQUEST_ID],
             TrafficClass.INTERACTIVE,
             self.deadline_of(request, self.deployment.limits.request_timeout_ms),
             stream=asked["stream"],
@@ -351,7 +355,7 @@
         response = web.StreamResponse(
             headers={
                 "Content-Type": "text/event-stream",
-                h.REQUEST_ID: request["id"],
+                h.REQUEST_ID: request[REQUEST_ID],
                 h.UPSTREAM: sent.member.name,
             }
         )
@@ -368,7 +372,7 @@
             stream.response.close()
             self.upstreams.end_stream(sent.member)
         if tail != STREAM_END:
-            events.emit(events.STREAM_CUT, request=request["id"], upstream=sent.member.name)
+            events.emit(events.STREAM_CUT, request=request[REQUEST_ID], upstream=sent.member.name)
             if request.transport is not None:
                 request.transport.abort()
             return response
@@ -417,7 +421,7 @@
         return Outbound(
             f"/call{path}{query}",
             body,
-            request["id"],
+            request[REQUEST_ID],
             route.traffic_class,
             self.deadline_of(request, route.timeout_ms),
             {"X-Method": request.method, "Content-Type": content_type},
--- a/src/apricotvale/daemons/gate.py
+++ b/src/apricotvale/daemons/gate.py
@@ -52,7 +52,8 @@
         self.waiting[ticket] = future
         try:
             timeout = self.admission.wait_until(ticket) - time.monotonic()
-            return await asyncio.wait_for(future, max(0.0, timeout))
+            async with asyncio.timeout(max(0.0, timeout)):
+                return await future
         except TimeoutError:
             return False
         except asyncio.CancelledError:
--- a/src/apricotvale/daemons/link.py
+++ b/src/apricotvale/daemons/link.py
@@ -188,7 +188,8 @@
     async def leave(self) -> None:
         """Tell control that the member leaves."""
         try:
-            await asyncio.wait_for(self.sync(0, leaving=True), LEAVE_S)
+            async with asyncio.timeout(LEAVE_S):
+                await self.sync(0, leaving=True)
         except TimeoutError:
             events.emit(events.CONTROL_LOST)
 
--- a/src/apricotvale/daemons/runtime.py
+++ b/src/apricotvale/daemons/runtime.py
@@ -13,6 +13,7 @@
 from apricotvale import events
 
 KEEPALIVE_S = 30.0
+SHUTDOWN_S = 1.0
 
 
 class TaskGroup:
@@ -50,14 +51,18 @@
     def __init__(self, app: web.Application, address: str) -> None:
         self.address = address
         self.runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, keepalive_timeout=KEEPALIVE_S
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_S,
+            shutdown_timeout=SHUTDOWN_S,
         )
         self.site: web.TCPSite | None = None
 
     async def __aenter__(self) -> HttpServer:
         host, _, port = self.address.rpartition(":")
         await self.runner.setup()
-        self.site = web.TCPSite(self.runner, host, int(port), shutdown_timeout=1.0)
+        self.site = web.TCPSite(self.runner, host, int(port))
         await self.site.start()
         return self
 
@@ -71,6 +76,19 @@
         await self.runner.cleanup()
 
 
+async def wait_event(event: asyncio.Event, seconds: float) -> bool:
+    """Wait for an event for a limited time; return whether it came.
+
+    `asyncio.wait_for` of Python 3.11 loses a cancellation that meets the event; this does not.
+    """
+    try:
+        async with asyncio.timeout(max(0.0, seconds)):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
 def health_routes(is_ready: Callable[[], bool]) -> list[web.RouteDef]:
     """Return `/healthz` and `/readyz`."""
 
--- a/src/apricotvale/daemons/sidecar.py
+++ b/src/apricotvale/daemons/sidecar.py
@@ -17,7 +17,7 @@
 from apricotvale.daemons.gate import Gate
 from apricotvale.daemons.link import ControlLink
 from apricotvale.daemons.orders import OrderRunner
-from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes
+from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes, wait_event
 from apricotvale.daemons.streams import (
     SAMPLE_COALESCE_S,
     STREAM_END,
@@ -88,11 +88,12 @@
         ):
             events.emit(events.STARTED, listen=self.settings.listen)
             await self.poll_upstream()
-            tasks.start(self.link.run())
+            sync_task = tasks.start(self.link.run())
             tasks.start(self.watch_upstream())
             tasks.start(self.orders.run())
             await stop.wait()
             await self.drain()
+            sync_task.cancel()
             await self.link.leave()
             await server.stop_accepting()
         self.link.close()
@@ -105,9 +106,7 @@
         self.gate.draining = True
         self.link.poke()
         drain_ms = self.deployment.limits.drain_ms if self.deployment else 0
-        try:
-            await asyncio.wait_for(self.gate.idle.wait(), drain_ms / 1000)
-        except TimeoutError:
+        if not await wait_event(self.gate.idle, drain_ms / 1000):
             events.emit(events.CANCELLED, why="drain deadline", active=self.gate.admission.active)
 
     def make_app(self) -> web.Application:
--- a/src/apricotvale/daemons/steps.py
+++ b/src/apricotvale/daemons/steps.py
@@ -6,7 +6,6 @@
 import json
 import time
 from collections import deque
-from contextlib import suppress
 from typing import Any
 
 import aiohttp
@@ -14,7 +13,7 @@
 from apricotvale import events
 from apricotvale.control import commands as c
 from apricotvale.control.calls import StepOwnership
-from apricotvale.daemons.runtime import TaskGroup
+from apricotvale.daemons.runtime import TaskGroup, wait_event
 from apricotvale.daemons.upstreams import Answer, Outbound
 from apricotvale.hashing import hash32, hash64
 from apricotvale.membership.roster import Kind, Member, Standing
@@ -80,8 +79,7 @@
             tasks.start(self.fill_ledger())
             while True:
                 self.dispatch(tasks)
-                with suppress(TimeoutError):
-                    await asyncio.wait_for(self.wake.wait(), WAKE_S)
+                await wait_event(self.wake, WAKE_S)
                 self.wake.clear()
 
     # -- dispatch
--- a/src/apricotvale/daemons/trainers.py
+++ b/src/apricotvale/daemons/trainers.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import time
-from contextlib import suppress
 from typing import Any
 
 from aiohttp import web
@@ -14,6 +13,7 @@
 from apricotvale import events
 from apricotvale.control import commands as c
 from apricotvale.daemons import headers as h
+from apricotvale.daemons.runtime import wait_event
 from apricotvale.daemons.steps import fetch_payload
 from apricotvale.exceptions import bad_input
 from apricotvale.outcomes import Reason, Refusal, not_run
@@ -100,7 +100,7 @@
 
     def reply(self, request: web.Request, document: dict[str, Any]) -> web.Response:
         """Return an answer to a trainer."""
-        return web.json_response(document, headers={h.REQUEST_ID: request["id"]})
+        return web.json_response(document, headers={h.REQUEST_ID: self.entry.request_id(request)})
 
     async def on_pull(self, request: web.Request) -> web.Response:
         """Acknowledge below the cursor and hand over what is ready."""
@@ -140,7 +140,7 @@
             waiting = time.monotonic() < pull.wait_until
             if payloads or result.done or not waiting:
                 return Pulled(result, payloads)
-            await wait_for(event, min(POLL_S, pull.wait_until - time.monotonic()))
+            await wait_event(event, min(POLL_S, pull.wait_until - time.monotonic()))
 
     async def collect(self, handed: list[Handed]) -> tuple[dict[str, Payload], list[str]]:
         """Return the payloads of handed samples, and the attempts whose payload is lost."""
@@ -257,12 +257,6 @@
     return number
 
 
-async def wait_for(event: asyncio.Event, timeout_s: float) -> None:
-    """Wait for an event for a limited time."""
-    with suppress(TimeoutError):
-        await asyncio.wait_for(event.wait(), max(0.0, timeout_s))
-
-
 def trainer_routes(entry: Any) -> list[web.RouteDef]:
     """Return the routes of the trainers' interface."""
     handlers = TrainerInterface(entry)
--- a/tests/site.py
+++ b/tests/site.py
@@ -76,9 +76,9 @@
 
     async def __aenter__(self):
         self.session = await self.stack.enter_async_context(aiohttp.ClientSession())
-        self.start(
-            ControlDaemon(self.settings("control", self.control, data_folder=str(self.folder)))
-        )
+        settings = self.settings("control", self.control, data_folder=str(self.folder))
+        self.control_daemon = ControlDaemon(settings)
+        self.start(self.control_daemon)
         for at in (1, 2):
             await self.add_engine(at)
         self.service = PlainService()
@@ -121,6 +121,9 @@
         sidecar.stop, sidecar.task = self.start(sidecar)
         return sidecar
 
+    def control_state(self):
+        return self.control_daemon.replica.state
+
     async def wait(self, condition, seconds=READY_S):
         deadline = time.monotonic() + seconds
         while not condition():
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -177,6 +177,8 @@
     stop.set()
     assert (await call)[0] == 200
     await task
+    await asyncio.sleep(0)
+    assert "entry-1" not in site.control_state().roster.state.members
 
 
 async def test_samples_give_way_to_interactive_work_and_go_on(site):
