Run each grpclib call in a task of its own

Cause: six process tests found daemons that ended with code 1 when control was gone at their stop. grpclib ends a call at its timeout by cancelling the caller's task and does not take that back, so an asyncio.timeout around it let CancelledError through. Change: calls run in their own task; the demo stops control after the others. Conclusion: no grpclib call may share a task with a timeout.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -150,11 +150,17 @@
         order = [name for name in self.processes if name.startswith("entry")]
         order += [name for name in self.addresses if name not in order]
         order += [name for name in self.processes if name not in order]
-        for name in order:
-            process = self.processes[name]
-            if process.poll() is None:
-                process.terminate()
-        for name in order:
+        bad += self.stop_all([name for name in order if name in self.addresses])
+        bad += self.stop_all([name for name in order if name not in self.addresses])
+        return bad
+
+    def stop_all(self, names: list[str]) -> list[str]:
+        """Stop some processes at once; return who did not stop well."""
+        bad = []
+        for name in names:
+            if self.processes[name].poll() is None:
+                self.processes[name].terminate()
+        for name in names:
             process = self.processes[name]
             try:
                 code = process.wait(timeout=25)
--- a/src/apricotvale/daemons/rpc.py
+++ b/src/apricotvale/daemons/rpc.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 from typing import Any
 
@@ -80,6 +81,19 @@
     return Server([service], codec=MessageCodec(), config=window_configuration())
 
 
+async def in_own_task(call: Coroutine[Any, Any, Any]) -> Any:
+    """Return a call's result, run in a task of its own.
+
+    grpclib ends a call at its timeout by cancelling the task that runs it, and does not take the
+    cancellation back; in the caller's task that would break `asyncio.timeout` around the call.
+    """
+    task = asyncio.ensure_future(call)
+    try:
+        return await task
+    finally:
+        task.cancel()
+
+
 class RpcClient:
     """A connection to one control replica."""
 
@@ -96,11 +110,11 @@
 
     async def call(self, request: Any, timeout_s: float) -> Any:
         """Send a call and return its reply."""
-        return await self.call_method(request, timeout=timeout_s)
+        return await in_own_task(self.call_method(request, timeout=timeout_s))
 
     async def send_peer(self, batch: PeerBatch, timeout_s: float) -> None:
         """Send peer messages."""
-        await self.peer_method(batch, timeout=timeout_s)
+        await in_own_task(self.peer_method(batch, timeout=timeout_s))
 
     def close(self) -> None:
         """Close the connection."""
--- /dev/null
+++ b/tests/test_rpc.py
@@ -0,0 +1,57 @@
+"""Calls to control that time out leave the caller's task as it was."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from apricotvale.control import calls
+from apricotvale.daemons.link import ControlClient
+from apricotvale.daemons.rpc import ControlService, RpcClient, make_server
+from apricotvale.outcomes import Ran, Reason
+from tests.site import free_address
+
+
+@pytest.fixture
+async def silent_address():
+    """Return the address of a control replica that never answers."""
+    never = asyncio.Event()
+
+    async def on_call(request):
+        await never.wait()
+
+    server = make_server(ControlService(on_call, lambda batch: None))
+    address = free_address()
+    host, _, port = address.rpartition(":")
+    await server.start(host, int(port))
+    yield address
+    never.set()
+    server.close()
+    await server.wait_closed()
+
+
+async def test_a_call_that_times_out_does_not_cancel_its_caller(silent_address):
+    client = RpcClient(silent_address)
+    with pytest.raises(asyncio.TimeoutError):
+        await client.call(calls.Query("config"), 0.05)
+    assert asyncio.current_task().cancelling() == 0
+    client.close()
+
+
+async def test_a_timeout_around_calls_is_a_timeout(silent_address):
+    client = ControlClient([silent_address])
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.3):
+            await client.call(calls.Query("config"), time.monotonic() + 10, attempt_s=0.05)
+    client.close()
+
+
+async def test_without_an_answer_a_call_is_refused_by_its_deadline(silent_address):
+    client = ControlClient([silent_address])
+    started = time.monotonic()
+    refusal = await client.call(calls.Query("config"), started + 0.2, attempt_s=0.05)
+    assert (refusal.reason, refusal.ran) == (Reason.NO_QUORUM, Ran.NOT_RUN)
+    assert time.monotonic() < started + 1.0
+    client.close()
