Compare policies in virtual time, and let samples use every slot

Cause: the reserve of 25 % for interactive work kept slots idle in each step, and the weights of idle time and staleness had no effect. Ruled out: interactive latency as its price; with preemption it is the same without a reserve. Change: apricotvale bench runs the router, admission and step plan over fake engines; the reserve is 0 by default; staleness_weight puts engines with older weights behind.

--- a/src/apricotvale/cli/__init__.py
+++ b/src/apricotvale/cli/__init__.py
@@ -7,6 +7,7 @@
 import click
 
 from apricotvale import __version__
+from apricotvale.cli.bench import bench
 from apricotvale.cli.config import config
 from apricotvale.cli.operate import drain, events_command, samples, status, weights
 from apricotvale.cli.processes import allinone, control, entry, sidecar
@@ -33,6 +34,7 @@
     samples,
     events_command,
     standin,
+    bench,
     try_command,
 ):
     cli.add_command(command)
--- /dev/null
+++ b/src/apricotvale/cli/bench.py
@@ -0,0 +1,50 @@
+"""The command that compares policies."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import click
+from attrs import evolve
+
+from apricotvale.cli._calls import print_table
+from apricotvale.experiments.policies import POLICIES
+from apricotvale.experiments.run import Run, summarise
+from apricotvale.experiments.scenarios import SCENARIOS
+
+COLUMNS = (
+    "step_ratio_mean",
+    "step_ratio_max",
+    "idle_share",
+    "staleness_mean",
+    "staleness_max",
+    "wasted_share",
+    "call_p50_s",
+    "call_p99_s",
+    "call_p99_ratio",
+    "calls_failed",
+)
+
+
+@click.command()
+@click.option("--scenario", "names", multiple=True, help="Scenario; by default all.")
+@click.option("--seeds", default=5, help="Seeds of each scenario.")
+@click.option("--json", "json_file", type=click.Path(path_type=Path), help="Write the report.")
+def bench(names: tuple[str, ...], seeds: int, json_file: Path | None) -> None:
+    """Compare the policy with baselines, over small fakes in virtual time."""
+    report = {}
+    for scenario in SCENARIOS:
+        if names and scenario.name not in names:
+            continue
+        report[scenario.name] = rows = {}
+        for policy in POLICIES:
+            quiet = evolve(scenario, samples=False)
+            outcomes = [Run(scenario, policy, seed).execute() for seed in range(seeds)]
+            alone = [Run(quiet, policy, seed).execute() for seed in range(seeds)]
+            rows[policy.name] = summarise(outcomes, alone)
+        click.echo(f"\n{scenario.name}")
+        table = [[name, *(row[column] for column in COLUMNS)] for name, row in rows.items()]
+        print_table(["policy", *COLUMNS], table)
+    if json_file is not None:
+        json_file.write_text(json.dumps(report, indent=2) + "\n")
--- a/src/apricotvale/daemons/steps.py
+++ b/src/apricotvale/daemons/steps.py
@@ -6,6 +6,7 @@
 import json
 import time
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -19,7 +20,7 @@
 from apricotvale.membership.roster import Kind, Member, Standing
 from apricotvale.outcomes import Refusal
 from apricotvale.requests.routing import Choice
-from apricotvale.samples.dispatch import Attempt, StepPlan
+from apricotvale.samples.dispatch import Attempt, StepPlan, staleness_handicap
 from apricotvale.samples.ledger import Fill, SlotsFilled, StepSpec
 from apricotvale.samples.store import Payload
 from apricotvale.settings.schema import TrafficClass
@@ -141,7 +142,9 @@
         """Start one attempt; return whether an engine was found."""
         prompt = self.spec.prompts[slot // self.spec.group_size]
         affinity = f"{hash64(prompt):016x}"
-        choice = self.entry.router.choose(engines, time.monotonic(), affinity, busy)
+        choice = self.entry.router.choose(
+            engines, time.monotonic(), affinity, busy, self.handicap(engines)
+        )
         if not isinstance(choice, Choice):
             return False
         member = choice.member
@@ -160,6 +163,19 @@
         self.work[name] = tasks.start(self.generate(attempt, member, prompt))
         return True
 
+    def handicap(self, engines: list[Member]) -> Callable[[Member], float]:
+        """Return how much an engine with older weights is put behind."""
+        deployment = self.entry.deployment
+        trainer = deployment.trainers[self.spec.trainer]
+        objective = deployment.objective
+        by_version = staleness_handicap(
+            max(engine.models[trainer.model] for engine in engines),
+            deployment.pools[trainer.pool].slots,
+            objective.idle_weight,
+            objective.staleness_weight,
+        )
+        return lambda member: by_version(member.models[trainer.model])
+
     async def generate(self, attempt: Attempt, member: Member, prompt: str) -> None:
         """Generate one sample and queue its fill."""
         made = False
--- a/src/apricotvale/requests/admission.py
+++ b/src/apricotvale/requests/admission.py
@@ -48,12 +48,14 @@
     :param reserve_percent: share of the slots that samples may not use.
     :param queue_length: requests that wait at most.
     :param queue_s: longest wait, in seconds.
+    :param preempts: whether other work stops samples when no slot is free.
     """
 
     slots: int
     reserve_percent: int
     queue_length: int
     queue_s: float
+    preempts: bool = True
     running: list[Ticket] = field(factory=list)
     queues: dict[TrafficClass, deque[Ticket]] = field(
         factory=lambda: {traffic_class: deque() for traffic_class in PRIORITY}
@@ -92,7 +94,7 @@
         ticket = Ticket(traffic_class, deadline, now)
         if self.has_slot(traffic_class) and not self.queues[traffic_class]:
             return self.start(ticket)
-        if traffic_class is not TrafficClass.SAMPLE:
+        if traffic_class is not TrafficClass.SAMPLE and self.preempts:
             victim = self.youngest_sample()
             if victim is not None:
                 self.running.remove(victim)
--- a/src/apricotvale/requests/routing.py
+++ b/src/apricotvale/requests/routing.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field, frozen
 
@@ -90,6 +90,7 @@
         now: float,
         affinity: str = "",
         excluded: Iterable[str] = (),
+        handicap: Callable[[Member], float] | None = None,
     ) -> Choice | Refusal:
         """Return the upstream for a request, or a refusal when there is none.
 
@@ -97,18 +98,24 @@
         :param now: the monotonic clock, in seconds.
         :param affinity: what the request shares with others, such as its prompt's start.
         :param excluded: incarnations that this request has already tried.
+        :param handicap: requests in flight to add to a member's cost.
         """
         left = [m for m in candidates if m.incarnation not in excluded] if excluded else candidates
         if not left:
             return not_run(Reason.NO_UPSTREAM, "no upstream is eligible", RETRY_AFTER_S)
         sampled, why = self.sample(left, now)
-        costs = [(self.cost(m, now), m.site != self.site, self.rng.random(), m) for m in sampled]
+        extra = handicap or no_handicap
+        costs = [
+            (self.cost(m, now) + extra(m), m.site != self.site, self.rng.random(), m)
+            for m in sampled
+        ]
         best = min(costs, key=lambda item: item[:3])
         chosen = best[3]
         if affinity:
             preferred = preferred_member(left, affinity)
             limit = best[0] + self.settings.affinity_slack
-            if self.is_healthy(preferred, now) and self.cost(preferred, now) <= limit:
+            cost = self.cost(preferred, now) + extra(preferred)
+            if self.is_healthy(preferred, now) and cost <= limit:
                 chosen, why = preferred, "prefix affinity"
         considered = tuple(Considered(m.name, round(cost, 2)) for cost, _, _, m in costs)
         return Choice(chosen, why, len(left), considered)
@@ -176,6 +183,11 @@
                 del self.loads[incarnation]
 
 
+def no_handicap(member: Member) -> float:
+    """Return no handicap."""
+    return 0.0
+
+
 def preferred_member(members: list[Member], affinity: str) -> Member:
     """Return the member that a prompt prefers.
 
--- a/src/apricotvale/samples/dispatch.py
+++ b/src/apricotvale/samples/dispatch.py
@@ -8,6 +8,7 @@
 
 import itertools
 from collections import deque
+from collections.abc import Callable
 
 from attrs import define, field, frozen
 
@@ -31,6 +32,19 @@
     version: int
 
 
+def staleness_handicap(
+    newest: int, slots: int, idle_weight: int, staleness_weight: int
+) -> Callable[[int], float]:
+    """Return how many requests in flight an engine's version counts for when samples are placed.
+
+    A version behind the newest counts for the slots of an engine, scaled by the share of
+    `staleness_weight`: at 0 only load matters, at 1 a free engine one version behind is as good
+    as a full one that is up to date.
+    """
+    share = staleness_weight / max(1, idle_weight + staleness_weight)
+    return lambda version: max(0, newest - version) * slots * share
+
+
 @define
 class StepPlan:
     """The owner's view of a step.
--- a/src/apricotvale/settings/schema.py
+++ b/src/apricotvale/settings/schema.py
@@ -85,7 +85,7 @@
     """Bounds on what the system takes on."""
 
     interactive_reserve_percent: int = option(
-        "share of an upstream's slots that samples may not use", 25, least=0, most=90
+        "share of an upstream's slots that samples may not use", 0, least=0, most=90
     )
     queue_length: int = option("requests that wait at one sidecar", 64, least=0)
     queue_ms: int = option("longest wait at one sidecar", 1_000, least=0)
