--- a/src/apricotvale/cli/bench.py
+++ b/src/apricotvale/cli/bench.py
@@ -33,11 +33,12 @@
 @click.option("--json", "json_file", type=click.Path(path_type=Path), help="Write the report.")
 def bench(names: tuple[str, ...], seeds: int, json_file: Path | None) -> None:
     """Compare the policy with baselines, over small fakes in virtual time."""
-    report = {}
+    report: dict[str, dict[str, dict[str, float]]] = {}
     for scenario in SCENARIOS:
         if names and scenario.name not in names:
             continue
-        report[scenario.name] = rows = {}
+        rows: dict[str, dict[str, float]] = {}
+        report[scenario.name] = rows
         for policy in POLICIES:
             quiet = evolve(scenario, samples=False)
             outcomes = [Run(scenario, policy, seed).execute() for seed in range(seeds)]
--- a/src/apricotvale/experiments/run.py
+++ b/src/apricotvale/experiments/run.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 from collections import deque
+from functools import partial
 from statistics import mean
 
 from attrs import define, field, frozen
@@ -128,7 +129,7 @@
                 engine.version = self.version
         else:
             for at, engine in enumerate(self.engines.values()):
-                self.clock.after(at * 2.0, lambda e=engine, v=self.version: self.swap(e, v))
+                self.clock.after(at * 2.0, partial(self.swap, engine, self.version))
 
     def swap(self, engine: FakeEngine, version: int) -> None:
         """Load a version: all sequences of the engine pause for a second."""
@@ -138,7 +139,7 @@
             epoch = job.epoch
             left_s = 1.0 + (job.tokens - job.done) * job.rate_s
             job.resumed_at = self.clock.now + 1.0
-            self.clock.after(left_s, lambda j=job, e=epoch: engine.finish(j, e))
+            self.clock.after(left_s, partial(engine.finish, job, epoch))
 
     # -- samples
 
