Weigh an engine's requests by its pace

Change: time for a token is kept in decaying sums; from 1.5 times the fastest on, an engine's requests count that many times over.

--- a/src/apricotvale/daemons/steps.py
+++ b/src/apricotvale/daemons/steps.py
@@ -185,6 +185,8 @@
                 payload = Payload.from_json(json.loads(answer.body))
                 made = payload.attempt == attempt.name
                 if made:
+                    taken_s = time.monotonic() - attempt.started_at
+                    self.entry.router.observe(member, taken_s, payload.tokens)
                     await self.keep(attempt, member, payload)
             if isinstance(answer, Refusal):
                 self.entry.dispatcher.learn(member, answer)
--- a/src/apricotvale/experiments/run.py
+++ b/src/apricotvale/experiments/run.py
@@ -210,6 +210,8 @@
             self.jobs.pop(name, None)
             plan.end(attempt, made, self.clock.now)
             if made:
+                taken_s = self.clock.now - attempt.started_at
+                self.router.observe(member, taken_s, lengths[slot])
                 self.fill(plan, attempt, lengths[slot])
 
         job = Job(TrafficClass.SAMPLE, prompt, lengths[slot], end)
--- a/src/apricotvale/requests/routing.py
+++ b/src/apricotvale/requests/routing.py
@@ -19,9 +19,29 @@
 
 SAMPLE_SIZE = 8
 MAX_EJECTION_DOUBLINGS = 5
+PACE_DECAY = 0.95
+CLEARLY_SLOWER = 1.5
 JUMP_FACTOR = 2862933555777941757
 
 
+@define
+class Pace:
+    """How long an upstream takes for a token, from decaying sums."""
+
+    seconds: float = 0.0
+    tokens: float = 0.0
+
+    def add(self, seconds: float, tokens: int) -> None:
+        """Take one finished request."""
+        self.seconds = self.seconds * PACE_DECAY + seconds
+        self.tokens = self.tokens * PACE_DECAY + tokens
+
+    @property
+    def seconds_a_token(self) -> float:
+        """Return the pace, 0 while unknown."""
+        return self.seconds / self.tokens if self.tokens else 0.0
+
+
 @define
 class UpstreamLoad:
     """What an entry knows of one incarnation's load and health."""
@@ -33,7 +53,7 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = float("-inf")
-    trial: bool = False
+    pace: Pace = field(factory=Pace)
 
 
 @frozen
@@ -104,22 +124,38 @@
         if not left:
             return not_run(Reason.NO_UPSTREAM, "no upstream is eligible", RETRY_AFTER_S)
         sampled, why = self.sample(left, now)
-        extra = handicap or no_handicap
-        costs = [
-            (self.cost(m, now) + extra(m), m.site != self.site, self.rng.random(), m)
-            for m in sampled
-        ]
+        weigh = self.weighing(sampled, now, handicap or no_handicap)
+        costs = [(weigh(m), m.site != self.site, self.rng.random(), m) for m in sampled]
         best = min(costs, key=lambda item: item[:3])
         chosen = best[3]
         if affinity:
             preferred = preferred_member(left, affinity)
             limit = best[0] + self.settings.affinity_slack
-            cost = self.cost(preferred, now) + extra(preferred)
-            if self.is_healthy(preferred, now) and cost <= limit:
+            if self.is_healthy(preferred, now) and weigh(preferred) <= limit:
                 chosen, why = preferred, "prefix affinity"
         considered = tuple(Considered(m.name, round(cost, 2)) for cost, _, _, m in costs)
         return Choice(chosen, why, len(left), considered)
 
+    def weighing(
+        self, sampled: list[Member], now: float, handicap: Callable[[Member], float]
+    ) -> Callable[[Member], float]:
+        """Return the cost by which candidates are compared.
+
+        An engine that takes clearly longer for a token than the fastest one counts its requests,
+        and the one to be sent, as many times over.
+        """
+        paces = [pace for m in sampled if (pace := self.load_of(m).pace.seconds_a_token)]
+        fastest = min(paces, default=0.0)
+
+        def weigh(member: Member) -> float:
+            cost = self.cost(member, now) + handicap(member)
+            pace = self.load_of(member).pace.seconds_a_token
+            if pace < fastest * CLEARLY_SLOWER:
+                return cost
+            return (cost + 1) * pace / fastest - 1 if fastest else cost
+
+        return weigh
+
     def sample(self, candidates: list[Member], now: float) -> tuple[list[Member], str]:
         """Return a few healthy candidates to compare, and why these.
 
@@ -159,6 +195,10 @@
         load.in_flight_at_report = load.in_flight
         load.reported_at = now
 
+    def observe(self, member: Member, seconds: float, tokens: int) -> None:
+        """Take how long a member took for a request of so many tokens."""
+        self.load_of(member).pace.add(seconds, tokens)
+
     def succeed(self, member: Member) -> None:
         """Note a success, which ends an ejection."""
         load = self.load_of(member)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -333,3 +333,23 @@
     view.apply(RosterDelta(5, [engine("e")], full=True))
     view.apply(RosterDelta(3, [], [Departure("e", "e")]))
     assert "e" in view.members
+
+
+def test_a_clearly_slower_engine_counts_its_requests_more_than_once():
+    router_, members = router(), [engine("slow"), engine("fast", "b")]
+    router_.observe(members[0], 30.0, 100)
+    router_.observe(members[1], 10.0, 100)
+    router_.begin(members[1])
+    assert router_.choose(members, 0.0).member.name == "fast"
+    for _ in range(2):
+        router_.begin(members[1])
+    assert router_.choose(members, 0.0).member.name == "slow"
+
+
+def test_small_differences_of_pace_do_not_move_prompts():
+    router_, members = router(affinity_slack=0), [engine(f"e{at}") for at in range(4)]
+    for at, member in enumerate(members):
+        router_.observe(member, 10.0 + at, 100)
+    for at in range(20):
+        prompt = f"prompt {at}"
+        assert router_.choose(members, 0.0, prompt).member == preferred_member(members, prompt)
