--- a/src/apricotvale/control/calls.py
+++ b/src/apricotvale/control/calls.py
@@ -43,12 +43,12 @@
 
 @frozen
 class Query:
-    """Read state, confirmed by a quorum; `topic` is one of `TOPICS`."""
-
-    topic: str
+    """Read state, confirmed by a quorum.
 
+    `topic` is config, history, members, force, weights, samples or group.
+    """
 
-TOPICS = ("config", "history", "members", "force", "weights", "samples", "group")
+    topic: str
 
 
 @frozen
--- a/src/apricotvale/control/reports.py
+++ b/src/apricotvale/control/reports.py
@@ -10,7 +10,7 @@
 
 
 def report(replica: Any, topic: str) -> calls.Report:
-    """Return the report on a topic of `calls.TOPICS`."""
+    """Return the report on a topic of `calls.Query`."""
     state = replica.state
     node = replica.node
     base = calls.Report(leader=replica.name, term=node.term, commit_index=node.commit_index)
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -9,10 +9,7 @@
 RETRIES = "retries"
 HEDGES = "hedges"
 REQUEST_MS = "request_ms"
-ACTIVE = "active"
-QUEUED = "queued"
 COMMITS = "commits"
-SYNC_MS = "sync_ms"
 
 
 class Metrics:
--- a/src/apricotvale/outcomes.py
+++ b/src/apricotvale/outcomes.py
@@ -41,7 +41,6 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     TOMBSTONED = "tombstoned"
     STALE_PULL = "stale_pull"
-    OLD_FENCE = "old_fence"
     ISLAND = "island"
 
 
@@ -60,7 +59,6 @@
     Reason.UPSTREAM_LOST: 502,
     Reason.UPSTREAM_GARBLED: 502,
     Reason.STALE_PULL: 409,
-    Reason.OLD_FENCE: 409,
 }
 DEFAULT_STATUS = 503
 RETRY_AFTER_S = 1.0
--- a/src/apricotvale/samples/ledger.py
+++ b/src/apricotvale/samples/ledger.py
@@ -9,8 +9,6 @@
 
 from attrs import define, evolve, field, frozen
 
-CLOSED_STEPS = 64
-
 
 @frozen
 class Segment:
--- a/src/apricotvale/settings/schema.py
+++ b/src/apricotvale/settings/schema.py
@@ -93,7 +93,6 @@
     max_body_bytes: int = option("longest request body", 4_194_304, least=1024)
     request_timeout_ms: int = option("deadline of a completion that brings none", 60_000, least=1)
     sample_timeout_ms: int = option("deadline of one sample's generation", 120_000, least=1)
-    buffered_samples: int = option("samples a step keeps ready for its trainer", 8192, least=1)
     drain_ms: int = option("longest graceful shutdown", 20_000, least=0)
 
 
@@ -120,7 +119,6 @@
     loads_at_once: int = option("engines that load from the store at once", 2, least=1)
     load_timeout_ms: int = option("time after which a load has failed", 30_000, least=1)
     retry_ms: int = option("wait before a failed load is tried again", 1_000, least=1)
-    store: str = option("address of the weight store, host:port", "")
 
 
 @frozen(kw_only=True)
--- a/src/apricotvale/standins/engine.py
+++ b/src/apricotvale/standins/engine.py
@@ -20,7 +20,6 @@
 from apricotvale.hashing import hash32
 
 PREFILL_TOKENS_A_STEP = 64
-STATE_LAG_S = 0.2
 MIN_SAMPLE_SHARE = 0.1
 
 
--- a/src/apricotvale/trial.py
+++ b/src/apricotvale/trial.py
@@ -38,6 +38,7 @@
 MAX_LATENCY_MS = 120_000
 IN_FORCE_TARGET_S = 3.0
 CHECKS_SHOWN = 10
+QUEUE_LENGTH = 64
 
 
 @frozen
@@ -73,7 +74,6 @@
     steps_completed: int = 0
     samples_delivered: int = 0
     interactive_ok: int = 0
-    interactive_refused: int = 0
     interactive_retried: int = 0
     interactive_p50_ms: float = 0.0
     interactive_p99_ms: float = 0.0
@@ -427,9 +427,9 @@
 def bump_limit(base: str) -> str:
     """Return a base file with one harmless limit changed."""
     lines = base.splitlines()
-    kept = [line for line in lines if not line.startswith("buffered_samples")]
-    current = tomllib.loads(base).get("limits", {}).get("buffered_samples", 8192)
-    setting = f"buffered_samples = {current + 1}"
+    kept = [line for line in lines if not line.startswith("queue_length")]
+    current = tomllib.loads(base).get("limits", {}).get("queue_length", QUEUE_LENGTH)
+    setting = f"queue_length = {current + 1}"
     if "[limits]" in kept:
         kept.insert(kept.index("[limits]") + 1, setting)
     else:
