Hold a data folder in one process, and refuse another group's settings

Cause: two replicas could be started on one data folder, and settings that name other replicas than the folder does were taken; storage had tests only through the fault matrix. Tests of torn tails, damage, gaps, formats and failed writes; the sites of the tests stop their parts together. Before: both were accepted.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -187,7 +187,8 @@
     """Group commit against one sync for each entry, on the same disk."""
     payload = b"x" * 200
     with tempfile.TemporaryDirectory(dir=ROOT) as folder:
-        storage = Storage(FolderDisk(Path(folder)), "bench")
+        disk = FolderDisk(Path(folder))
+        storage = Storage(disk, "bench")
         started = time.perf_counter()
         for at in range(200):
             storage.append([EntriesRecord([Entry(at + 1, 1, 0, EntryKind.COMMAND, payload)])])
@@ -201,7 +202,7 @@
             storage.append([EntriesRecord(entries)])
         grouped = (time.perf_counter() - started) / (20 * 256)
         started = time.perf_counter()
-        Storage(FolderDisk(Path(folder)), "bench")
+        Storage(disk, "bench")
         load_s = time.perf_counter() - started
     return {
         "single_us": round(single * 1e6, 1),
--- a/src/apricotvale/consensus/disk.py
+++ b/src/apricotvale/consensus/disk.py
@@ -2,16 +2,36 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 from pathlib import Path
 
+from apricotvale.exceptions import FolderInUseError
+
+LOCK_FILE = "lock"
+
+
+def lock(folder: Path) -> int:
+    """Hold a folder until the process ends; raise FolderInUseError if another process does."""
+    fd = os.open(folder / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o644)
+    try:
+        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as error:
+        os.close(fd)
+        raise FolderInUseError(str(folder)) from error
+    return fd
+
 
 class FolderDisk:
-    """Files in one folder. Appends keep their file open; a replaced file is renamed into place."""
+    """Files in one folder, which one process holds at a time.
+
+    Appends keep their file open; a replaced file is renamed into place.
+    """
 
     def __init__(self, folder: Path) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self.folder = folder
+        self.lock_fd = lock(folder)
         self.open_name = ""
         self.open_fd = -1
 
@@ -21,8 +41,9 @@
         return path.read_bytes() if path.exists() else None
 
     def names(self) -> list[str]:
-        """Return the files' names, sorted, without unfinished ones."""
-        return sorted(entry.name for entry in self.folder.iterdir() if entry.suffix != ".new")
+        """Return the files' names, sorted, without unfinished ones and the lock."""
+        names = (entry.name for entry in self.folder.iterdir() if entry.suffix != ".new")
+        return sorted(name for name in names if name != LOCK_FILE)
 
     def append(self, name: str, data: bytes) -> None:
         """Write behind a file's end and sync it."""
@@ -69,6 +90,11 @@
         finally:
             os.close(fd)
 
+    def release(self) -> None:
+        """Let another process hold the folder."""
+        self.close()
+        os.close(self.lock_fd)
+
     def close(self) -> None:
         """Close the file kept open for appends."""
         if self.open_fd >= 0:
--- a/src/apricotvale/daemons/control.py
+++ b/src/apricotvale/daemons/control.py
@@ -49,7 +49,8 @@
         self.settings = settings
         self.metrics = metrics.Metrics(settings.statsd, settings.name)
         replicas = settings.replicas or {settings.name: settings.listen}
-        storage = Storage(FolderDisk(Path(settings.data_folder)), settings.name)
+        self.disk = FolderDisk(Path(settings.data_folder))
+        storage = Storage(self.disk, settings.name)
         self.replica = Replica(settings.name, replicas, storage, Timing(), self.on_applied)
         self.contacts: dict[str, Contact] = {}
         self.led_term = 0
@@ -79,6 +80,7 @@
             await self.hand_over()
             server.close()
             self.changed.set()
+        self.disk.release()
         events.emit(events.STOPPED)
 
     def is_ready(self) -> bool:
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -30,7 +30,7 @@
 from apricotvale.control.state import ControlState
 from apricotvale.daemons.rpc import RpcClient
 from apricotvale.daemons.runtime import TaskGroup
-from apricotvale.exceptions import DiskError
+from apricotvale.exceptions import DiskError, GroupMismatchError
 
 PEER_PAUSE_S = 0.02
 MAX_WAIT_S = 0.25
@@ -132,6 +132,13 @@
         self.seen_group = Group()
         self.seen_role: tuple[Role, int, str] = (Role.FOLLOWER, 0, "")
         self.node = self.make_node(storage.stored)
+        self.check_group()
+
+    def check_group(self) -> None:
+        """Refuse settings that name other replicas than the data folder does."""
+        stored = sorted({member.name for member in self.node.group.members})
+        if stored and stored != sorted(self.replicas):
+            raise GroupMismatchError(stored, sorted(self.replicas))
 
     # -- calls from the daemon
 
--- a/src/apricotvale/exceptions.py
+++ b/src/apricotvale/exceptions.py
@@ -55,6 +55,23 @@
         super().__init__(f"the folder belongs to replica {found!r}, not {expected!r}")
 
 
+class FolderInUseError(StorageError):
+    """A data folder that another process holds."""
+
+    def __init__(self, folder: str) -> None:
+        super().__init__(f"{folder} is held by another process; give each replica its own")
+
+
+class GroupMismatchError(StorageError):
+    """Settings that name other replicas than the data folder."""
+
+    def __init__(self, stored: list[str], stated: list[str]) -> None:
+        super().__init__(
+            f"the folder's group is {', '.join(stored)}, the settings name {', '.join(stated)}; "
+            "correct the settings"
+        )
+
+
 class DiskError(StorageError):
     """A write or sync failed; the replica no longer votes."""
 
--- a/tests/site.py
+++ b/tests/site.py
@@ -78,7 +78,7 @@
         self.session = await self.stack.enter_async_context(aiohttp.ClientSession())
         settings = self.settings("control", self.control, data_folder=str(self.folder))
         self.control_daemon = ControlDaemon(settings)
-        self.start(self.control_daemon)
+        _, self.control_task = self.start(self.control_daemon)
         for at in (1, 2):
             await self.add_engine(at)
         self.service = PlainService()
@@ -95,9 +95,12 @@
         return self
 
     async def __aexit__(self, *exc_info):
-        for stop, task in reversed(self.stops):
-            stop.set()
-            await task
+        control = [held for held in self.stops if held[1] is self.control_task]
+        others = [held for held in self.stops if held[1] is not self.control_task]
+        for held in (others, control):
+            for stop, _ in held:
+                stop.set()
+            await asyncio.gather(*(task for _, task in held))
         await self.stack.aclose()
 
     def settings(self, name, listen, **extra):
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,143 @@
+"""Data folders: torn tails are cut, damage and mistaken identity are refused, nothing is lost."""
+
+from __future__ import annotations
+
+import pytest
+
+from apricotvale.codec import encode
+from apricotvale.consensus.disk import FolderDisk
+from apricotvale.consensus.messages import Entry, EntryKind, Group, GroupMember, HardState, Snapshot
+from apricotvale.consensus.node import Timing
+from apricotvale.consensus.storage import (
+    FRAME,
+    META_FILE,
+    EntriesRecord,
+    Meta,
+    Storage,
+    TruncateRecord,
+    frame,
+)
+from apricotvale.daemons.replica import Replica
+from apricotvale.exceptions import (
+    DataFolderError,
+    DataFormatError,
+    DiskError,
+    FolderInUseError,
+    GroupMismatchError,
+    IdentityError,
+)
+from tests.replicas import MemoryDisk
+
+SEGMENT = "segment-0000000000"
+
+
+def entry(index, term=1):
+    return Entry(index, term, 0, EntryKind.COMMAND, b"x" * 20)
+
+
+def written(disk, entries=5):
+    storage = Storage(disk, "a")
+    storage.append([HardState(3, "b")])
+    for index in range(1, entries + 1):
+        storage.append([EntriesRecord([entry(index)])])
+    return storage
+
+
+def indexes(disk):
+    return [found.index for found in Storage(disk, "a").stored.entries]
+
+
+def test_what_was_synced_is_found_again():
+    disk = MemoryDisk()
+    written(disk)
+    stored = Storage(disk, "a").stored
+    assert stored.hard_state == HardState(3, "b")
+    assert indexes(disk) == [1, 2, 3, 4, 5]
+
+
+@pytest.mark.parametrize("kept", range(1, FRAME.size + 30, 7))
+def test_a_torn_tail_is_cut_off_and_written_over(kept):
+    disk = MemoryDisk()
+    written(disk, 2)
+    disk.files[SEGMENT] += frame(encode(EntriesRecord([entry(3)]), EntriesRecord))[:kept]
+    storage = Storage(disk, "a")
+    assert [found.index for found in storage.stored.entries] == [1, 2]
+    storage.append([EntriesRecord([entry(3)])])
+    assert indexes(disk) == [1, 2, 3]
+
+
+def test_damage_before_the_end_is_refused_and_left_alone():
+    disk = MemoryDisk()
+    written(disk)
+    disk.files[SEGMENT][60] ^= 0xFF
+    before = bytes(disk.files[SEGMENT])
+    with pytest.raises(DataFolderError):
+        Storage(disk, "a")
+    assert bytes(disk.files[SEGMENT]) == before
+
+
+def test_entries_replace_what_they_overlap():
+    disk = MemoryDisk()
+    storage = written(disk)
+    storage.append([TruncateRecord(3), EntriesRecord([entry(4, term=2)])])
+    assert indexes(disk) == [1, 2, 3, 4]
+    assert Storage(disk, "a").stored.entries[-1].term == 2
+
+
+def test_a_snapshot_replaces_old_segments():
+    disk = MemoryDisk()
+    storage = written(disk)
+    snapshot = Snapshot(4, 1, 0, Group(), b"state")
+    storage.save_snapshot(snapshot, HardState(3), [entry(4), entry(5)])
+    stored = Storage(disk, "a").stored
+    assert stored.snapshot == snapshot
+    assert indexes(disk) == [4, 5]
+    assert SEGMENT not in disk.files
+
+
+def test_a_gap_in_the_log_is_refused():
+    disk = MemoryDisk()
+    written(disk, 2).append([EntriesRecord([entry(4)])])
+    with pytest.raises(DataFolderError):
+        Storage(disk, "a")
+
+
+def test_a_newer_format_is_refused():
+    disk = MemoryDisk()
+    disk.replace(META_FILE, frame(encode(Meta(99, "a", "id"), Meta)))
+    with pytest.raises(DataFormatError):
+        Storage(disk, "a")
+
+
+def test_another_replicas_folder_is_refused():
+    disk = MemoryDisk()
+    written(disk)
+    with pytest.raises(IdentityError):
+        Storage(disk, "b")
+
+
+def test_a_failed_write_ends_the_storage():
+    disk = MemoryDisk()
+    storage = written(disk)
+    disk.next_append = "disk error"
+    with pytest.raises(DiskError):
+        storage.append([HardState(4)])
+    with pytest.raises(DiskError):
+        storage.append([HardState(4)])
+
+
+def test_a_folder_is_held_by_one_process(tmp_path):
+    disk = FolderDisk(tmp_path)
+    with pytest.raises(FolderInUseError):
+        FolderDisk(tmp_path)
+    disk.release()
+    FolderDisk(tmp_path).release()
+
+
+def test_settings_that_name_another_group_are_refused():
+    storage = written(MemoryDisk(), 0)
+    group = Group((GroupMember("a", storage.meta.data_id, "x:1"), GroupMember("b", "other", "y:1")))
+    storage.save_snapshot(Snapshot(1, 1, 0, group, b""), HardState(1), [])
+    again = Storage(storage.disk, "a")
+    with pytest.raises(GroupMismatchError):
+        Replica("a", {"a": "x:1", "c": "y:1"}, again, Timing(), lambda: None)
