Move the node's types to a module of their own

Cause: consensus/node.py had grown to 690 lines, a tenth of them type definitions. Ruled out: splitting election from replication, which share most of their state. Change: Timing, Role, NotLeader, Progress and Ready stand in consensus/types.py. Conclusion: behaviour unchanged.

--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -8,9 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from enum import StrEnum
 
-from attrs import define, evolve, field, frozen
+from attrs import evolve
 
 from apricotvale.consensus.log import Log
 from apricotvale.consensus.messages import (
@@ -29,7 +28,8 @@
     VoteReply,
     VoteRequest,
 )
-from apricotvale.consensus.storage import EntriesRecord, Record, Stored, TruncateRecord, with_term
+from apricotvale.consensus.storage import EntriesRecord, Stored, TruncateRecord, with_term
+from apricotvale.consensus.types import NotLeader, Progress, Ready, Role, Timing
 
 MAX_APPEND_BYTES = 512 * 1024
 LEARNER_LAG_ENTRIES = 64
@@ -39,54 +39,6 @@
 RETRY_SPREAD = 0.4
 
 
-class Role(StrEnum):
-    """What a replica currently does in its group."""
-
-    FOLLOWER = "follower"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-@frozen
-class Timing:
-    """Protocol periods in seconds."""
-
-    heartbeat_s: float = 0.1
-    election_s: float = 0.5
-    install_s: float = 2.0
-
-
-@frozen
-class NotLeader:
-    """The replica cannot accept the call; `leader` names who may, if known."""
-
-    leader: str = ""
-
-
-@define
-class Progress:
-    """What the leader knows about one follower."""
-
-    next_index: int
-    match_index: int = 0
-    acked_sequence: int = 0
-    heard_at: float = 0.0
-    install_until: float = 0.0
-
-
-@define
-class Ready:
-    """Work for the replica's owner."""
-
-    records: list[Record] = field(factory=list)
-    install: Snapshot | None = None
-    early: list[PeerMessage] = field(factory=list)
-    late: list[PeerMessage] = field(factory=list)
-    committed: list[Entry] = field(factory=list)
-    reads: list[int] = field(factory=list)
-    failed_reads: list[int] = field(factory=list)
-
-
 class Node:
     """State of one replica.
 
--- a/src/apricotvale/daemons/control.py
+++ b/src/apricotvale/daemons/control.py
@@ -13,8 +13,8 @@
 from apricotvale import events, metrics
 from apricotvale.codec import encode
 from apricotvale.consensus.disk import FolderDisk
-from apricotvale.consensus.node import NotLeader, Timing
 from apricotvale.consensus.storage import Storage
+from apricotvale.consensus.types import NotLeader, Timing
 from apricotvale.control import calls, reports
 from apricotvale.control import commands as c
 from apricotvale.control.configuration import ConfigApplied, ConfigConflict
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -24,8 +24,9 @@
     PeerMessage,
     Snapshot,
 )
-from apricotvale.consensus.node import Node, NotLeader, Ready, Role, Timing
+from apricotvale.consensus.node import Node
 from apricotvale.consensus.storage import Storage, Stored
+from apricotvale.consensus.types import NotLeader, Ready, Role, Timing
 from apricotvale.control.calls import JoinProbe, PeerBatch, ProbeReply
 from apricotvale.control.state import ControlState
 from apricotvale.daemons.rpc import RpcClient
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -22,8 +22,9 @@
     JoinRequest,
     Snapshot,
 )
-from apricotvale.consensus.node import Node, NotLeader, Role, Timing
+from apricotvale.consensus.node import Node
 from apricotvale.consensus.storage import Storage
+from apricotvale.consensus.types import NotLeader, Role, Timing
 from apricotvale.control import commands as c
 from apricotvale.control.state import ControlState
 from apricotvale.exceptions import DiskError
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -7,7 +7,6 @@
 from apricotvale.codec import encode
 from apricotvale.consensus.disk import FolderDisk
 from apricotvale.consensus.messages import Entry, EntryKind, Group, GroupMember, HardState, Snapshot
-from apricotvale.consensus.node import Timing
 from apricotvale.consensus.storage import (
     FRAME,
     META_FILE,
@@ -17,6 +16,7 @@
     TruncateRecord,
     frame,
 )
+from apricotvale.consensus.types import Timing
 from apricotvale.daemons.replica import Replica
 from apricotvale.exceptions import (
     DataFolderError,
