Let a replica group form from contacts and keep its size by itself

Cause: on the users' platform no process is told how many control replicas there are; the group was a fixed table of names, and the leader's lease stood still while a VM was suspended. Ruled out: a second consensus module beside this one; swapping a voter in one change (the old disk may still run behind a partition). Change: GroupPolicy (open, voters, learners, replace_after_s); a learner takes the place of its predecessor, of a silent voter or of a retiring one, one change at a time; replicas that hear no leader ask to join again; Replica takes any state machine; leases are kept on the boot-time clock.

--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -29,7 +29,7 @@
     VoteRequest,
 )
 from apricotvale.consensus.storage import EntriesRecord, Stored, TruncateRecord, with_term
-from apricotvale.consensus.types import NotLeader, Progress, Ready, Role, Timing
+from apricotvale.consensus.types import GroupPolicy, NotLeader, Progress, Ready, Role, Timing
 
 MAX_APPEND_BYTES = 512 * 1024
 LEARNER_LAG_ENTRIES = 64
@@ -47,6 +47,7 @@
     :param encode_group: turns a group into an entry's payload.
     :param decode_group: the reverse.
     :param jitter: returns a number in [0, 1) that spreads election timeouts.
+    :param policy: how large the group is to be and whom it takes in.
     """
 
     def __init__(
@@ -59,9 +60,12 @@
         jitter: Callable[[], float],
         now: float,
         name: str = "",
+        policy: GroupPolicy | None = None,
     ) -> None:
         self.data_id = data_id
         self.name = name
+        self.policy = policy or GroupPolicy()
+        self.retiring: frozenset[str] = frozenset()
         self.timing = timing
         self.encode_group = encode_group
         self.decode_group = decode_group
@@ -284,10 +288,11 @@
         if self.role is not Role.LEADER:
             return False
         horizon = now - self.timing.election_s
+        staying = {m.data_id for m in self.group.members if m.voter and m.name not in self.retiring}
         others = [
             (peer.match_index, voter)
             for voter, peer in self.progress.items()
-            if voter != self.data_id and voter in self.group.voters() and peer.heard_at >= horizon
+            if voter != self.data_id and voter in staying and peer.heard_at >= horizon
         ]
         if not others:
             return False
@@ -512,15 +517,40 @@
     # -- change of the group
 
     def on_join_request(self, request: JoinRequest, now: float) -> None:
-        """Add a replica with a new data folder as a learner."""
-        if not self.may_change_group() or self.group.find(request.source):
+        """Add a replica with a new data folder as a learner, or note its new address."""
+        if not self.may_change_group():
+            return
+        known = self.group.find(request.source)
+        if known is not None:
+            if known.address != request.address:
+                moved = evolve(known, address=request.address)
+                self.replace_members({known: moved}, now)
             return
-        if not any(member.name == request.name for member in self.group.members):
+        if not self.takes_in(request.name):
             return
         kept = (m for m in self.group.members if m.voter or m.name != request.name)
         learner = GroupMember(request.name, request.source, request.address, voter=False)
         self.change_group(Group((*kept, learner)), now)
 
+    def takes_in(self, name: str) -> bool:
+        """Return whether a replica of this name has a place in the group.
+
+        A table of fixed names takes only those; an open group takes its predecessors' names, and
+        others up to the wanted number of learners.
+        """
+        if any(member.name == name for member in self.group.members):
+            return True
+        if not self.policy.open:
+            return False
+        learners = sum(not member.voter for member in self.group.members)
+        missing = max(0, self.policy.voters - len(self.group.voters()))
+        return name not in self.retiring and learners < self.policy.learners + missing
+
+    def replace_members(self, changed: dict[GroupMember, GroupMember], now: float) -> None:
+        """Append a group in which some members are changed."""
+        members = tuple(changed.get(member, member) for member in self.group.members)
+        self.change_group(Group(members), now)
+
     def may_change_group(self) -> bool:
         """Return whether a change may start: only a leader with no change or term open."""
         return (
@@ -530,22 +560,66 @@
         )
 
     def tend_group(self, now: float) -> None:
-        """Put a learner that caught up in its predecessor's place, one voter at a time."""
+        """Change the group by one member where it should change."""
         if not self.may_change_group():
             return
-        for learner in self.group.members:
-            if learner.voter or not self.caught_up(learner, now):
-                continue
-            predecessors = [m for m in self.group.members if m.voter and m.name == learner.name]
-            if predecessors and predecessors[0].data_id == self.data_id:
-                continue
-            if predecessors:
-                gone = predecessors[0]
-                self.change_group(Group(tuple(m for m in self.group.members if m != gone)), now)
-            else:
-                members = (evolve(m, voter=m.voter or m == learner) for m in self.group.members)
-                self.change_group(Group(tuple(members)), now)
-            return
+        learner = self.next_voter(now)
+        if learner is not None:
+            gone = self.voter_to_replace(learner, now)
+            if gone is not None:
+                self.remove_member(gone, now)
+                return
+            if self.is_wanted(learner):
+                self.replace_members({learner: evolve(learner, voter=True)}, now)
+                return
+        if self.policy.open:
+            self.drop_learner(now)
+
+    def next_voter(self, now: float) -> GroupMember | None:
+        """Return a learner that may become a voter: a successor of a voter's name comes first."""
+        names = {member.name for member in self.group.members if member.voter}
+        ready = [
+            member
+            for member in self.group.members
+            if not member.voter and member.name not in self.retiring and self.caught_up(member, now)
+        ]
+        ready.sort(key=lambda member: member.name not in names)
+        return ready[0] if ready else None
+
+    def voter_to_replace(self, learner: GroupMember, now: float) -> GroupMember | None:
+        """Return the voter whose place a learner takes: its predecessor, or one that is lost."""
+        others = [m for m in self.group.members if m.voter and m.data_id != self.data_id]
+        for voter in others:
+            if voter.name == learner.name:
+                return voter
+        if not self.policy.open or len(self.group.voters()) < self.policy.voters:
+            return None
+        for voter in others:
+            if voter.name in self.retiring or self.is_silent(voter, now):
+                return voter
+        return None
+
+    def is_wanted(self, learner: GroupMember) -> bool:
+        """Return whether a learner is to become a voter now."""
+        if any(m.voter and m.name == learner.name for m in self.group.members):
+            return False
+        return not self.policy.open or len(self.group.voters()) < self.policy.voters
+
+    def drop_learner(self, now: float) -> None:
+        """Remove a learner that is retiring or was silent for long."""
+        for member in self.group.members:
+            if not member.voter and (member.name in self.retiring or self.is_silent(member, now)):
+                self.remove_member(member, now)
+                return
+
+    def is_silent(self, member: GroupMember, now: float) -> bool:
+        """Return whether a member was not heard for so long that another takes its place."""
+        peer = self.progress.get(member.data_id)
+        return peer is not None and peer.heard_at < now - self.policy.replace_after_s
+
+    def remove_member(self, gone: GroupMember, now: float) -> None:
+        """Append a group without a member."""
+        self.change_group(Group(tuple(m for m in self.group.members if m != gone)), now)
 
     def caught_up(self, learner: GroupMember, now: float) -> bool:
         """Return whether a learner holds nearly the whole log and answers."""
--- a/src/apricotvale/consensus/types.py
+++ b/src/apricotvale/consensus/types.py
@@ -27,6 +27,21 @@
     install_s: float = 2.0
 
 
+@frozen
+class GroupPolicy:
+    """How a group keeps its size.
+
+    A closed group consists of a fixed table of names. An open one takes in replicas by themselves:
+    it wants `voters` of them and up to `learners` spare ones, and gives the place of a voter that
+    was silent for `replace_after_s` to a spare one.
+    """
+
+    open: bool = False
+    voters: int = 0
+    learners: int = 0
+    replace_after_s: float = float("inf")
+
+
 @frozen
 class NotLeader:
     """The replica cannot accept the call; `leader` names who may, if known."""
--- a/src/apricotvale/control/calls.py
+++ b/src/apricotvale/control/calls.py
@@ -175,12 +175,14 @@
 
 @frozen
 class ProbeReply:
-    """What a peer knows: its own data id, and whether it is part of a group."""
+    """What a peer knows: its data id, whether it is part of a group, and the others' addresses."""
 
     name: str
     data_id: str
     empty: bool
     leader_id: str = ""
+    addresses: list[str] = field(factory=list)
+    address: str = ""
 
 
 CallReply = Committed | Redirect | Unconfirmed | Invalid | SyncReply | Report | ProbeReply
--- a/src/apricotvale/daemons/control.py
+++ b/src/apricotvale/daemons/control.py
@@ -18,7 +18,8 @@
 from apricotvale.control import calls, reports
 from apricotvale.control import commands as c
 from apricotvale.control.configuration import ConfigApplied, ConfigConflict
-from apricotvale.daemons.replica import LostLeadership, Replica
+from apricotvale.control.state import ControlState
+from apricotvale.daemons.replica import LostLeadership, Replica, fixed_peers
 from apricotvale.daemons.rpc import ControlService, make_server
 from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes, wait_event
 from apricotvale.exceptions import SettingsError
@@ -51,7 +52,9 @@
         replicas = settings.replicas or {settings.name: settings.listen}
         self.disk = FolderDisk(Path(settings.data_folder))
         storage = Storage(self.disk, settings.name)
-        self.replica = Replica(settings.name, replicas, storage, Timing(), self.on_applied)
+        self.state = ControlState()
+        peers = fixed_peers(settings.name, replicas)
+        self.replica = Replica(peers, storage, Timing(), self.on_applied, self.state)
         self.contacts: dict[str, Contact] = {}
         self.led_term = 0
         self.news: tuple[int, ...] = ()
@@ -93,7 +96,7 @@
         self.stopping = True
         deadline = time.monotonic() + TRANSFER_WAIT_S
         while self.replica.leads and time.monotonic() < deadline:
-            if len(self.replica.replicas) == 1:
+            if len(self.replica.node.group.members) == 1:
                 return
             await self.replica.transfer()
             await asyncio.sleep(0.05)
@@ -172,7 +175,7 @@
         """Return the revision in force at each member."""
         now = time.monotonic()
         found = []
-        for member in self.replica.state.roster.state.members.values():
+        for member in self.state.roster.state.members.values():
             contact = self.contacts.get(member.name)
             revision = contact.in_force if contact else 0
             age_ms = int((now - contact.heard_at) * 1000) if contact else -1
@@ -211,7 +214,7 @@
                 events.emit(events.SWAP_FAILED, upstream=failure.upstream, detail=failure.detail)
             retry_ms = self.deployment.weights.retry_ms if self.deployment else DEFAULT_RETRY_MS
             found.append(c.ReportFailures(sync.failures, retry_ms))
-        held = self.replica.state.roster.state.members.get(member.name)
+        held = self.state.roster.state.members.get(member.name)
         if sync.leaving:
             found.append(c.Depart([Departure(member.name, member.incarnation)]))
             events.emit(events.MEMBER_LEFT, member=member.name, why="leaving")
@@ -237,7 +240,7 @@
 
     def interest(self, member: Member) -> int:
         """Return a digest of all that concerns a member; it changes when the member has news."""
-        state = self.replica.state
+        state = self.state
         parts: list[Any] = [state.config.state.revision]
         if member.kind is Kind.ENTRY:
             parts.append(state.roster.state.position)
@@ -250,7 +253,7 @@
     def steps_of(self, member: Member, known: list[str] | None = None) -> list[calls.StepOwnership]:
         """Return the steps that an entry owns."""
         found = []
-        ledger = self.replica.state.ledger
+        ledger = self.state.ledger
         for name, trainer in ledger.state.trainers.items():
             for key, step in trainer.steps.items():
                 if step.owner_incarnation != member.incarnation:
@@ -270,7 +273,7 @@
 
     def sync_reply(self, sync: calls.Sync) -> calls.SyncReply:
         """Return what a member does not know yet."""
-        state = self.replica.state
+        state = self.state
         member = sync.member
         is_entry = member.kind is Kind.ENTRY
         config = state.config.state
@@ -293,7 +296,7 @@
 
     def on_applied(self) -> None:
         """Wake the syncs that wait, if there is news for any of them."""
-        news = self.replica.state.news()
+        news = self.state.news()
         if news == self.news:
             return
         self.news = news
@@ -320,12 +323,12 @@
             return
         self.led_term = self.replica.node.term
         now = time.monotonic()
-        for member in self.replica.state.roster.state.members.values():
+        for member in self.state.roster.state.members.values():
             self.contacts[member.name] = Contact(member.incarnation, now, 0)
 
     def read_config(self) -> None:
         """Parse the deployment when its revision changed."""
-        config = self.replica.state.config.state
+        config = self.state.config.state
         if config.revision != self.deployment_revision and config.document is not None:
             views = check_deployment(config.document.base, config.document.overlays)
             self.deployment = next(iter(views.values()))
@@ -337,7 +340,7 @@
 
     def due_commands(self, now: float) -> list[Any]:
         """Return the commands that the leader's duties call for."""
-        state = self.replica.state
+        state = self.state
         found: list[Any] = []
         silent = self.silent_members(now)
         if silent:
@@ -367,7 +370,7 @@
 
     def is_overdue(self, now_ms: int) -> bool:
         """Return whether a grant or a step has passed its deadline."""
-        state = self.replica.state
+        state = self.state
         grants = state.rollout.state.grants.values()
         trainers = state.ledger.state.trainers.values()
         return any(grant.deadline_ms <= now_ms for grant in grants) or any(
@@ -380,7 +383,7 @@
         """Return the members whose lease has run out."""
         lease_s = self.lease_ms() / 1000
         found = []
-        for member in self.replica.state.roster.state.members.values():
+        for member in self.state.roster.state.members.values():
             contact = self.contacts.get(member.name)
             if contact is None:
                 self.contacts[member.name] = Contact(member.incarnation, now, 0)
@@ -391,7 +394,7 @@
 
     def adoptions(self) -> list[c.AdoptStep]:
         """Return the commands that give orphaned steps to live entries."""
-        state = self.replica.state
+        state = self.state
         members = state.roster.state.members
         entries = [member for member in members.values() if member.kind is Kind.ENTRY]
         found = []
--- a/src/apricotvale/daemons/link.py
+++ b/src/apricotvale/daemons/link.py
@@ -10,7 +10,7 @@
 from apricotvale import events
 from apricotvale.control import calls
 from apricotvale.control import commands as c
-from apricotvale.daemons.rpc import RpcClient
+from apricotvale.daemons.rpc import CONTROL, Interface, RpcClient
 from apricotvale.membership.roster import Member
 from apricotvale.outcomes import RETRY_AFTER_S, Reason, Refusal, not_run
 
@@ -23,8 +23,9 @@
 class ControlClient:
     """Calls to whichever control replica leads. Calls are repeated, so commands must allow it."""
 
-    def __init__(self, addresses: list[str]) -> None:
+    def __init__(self, addresses: list[str], interface: Interface = CONTROL) -> None:
         self.addresses = list(addresses)
+        self.interface = interface
         self.clients: dict[str, RpcClient] = {}
         self.current = addresses[0]
 
@@ -56,6 +57,10 @@
             elif not isinstance(reply, calls.Unconfirmed):
                 return reply
 
+    def now(self) -> float:
+        """Return the clock by which the deadlines of calls are kept."""
+        return time.monotonic()
+
     async def propose(self, command: Any, deadline: float) -> Any | Refusal:
         """Commit a command; return its result or a refusal."""
         reply = await self.call(calls.Propose(command), deadline)
@@ -68,7 +73,7 @@
     def client(self, address: str) -> RpcClient:
         """Return the connection to an address."""
         if address not in self.clients:
-            self.clients[address] = RpcClient(address)
+            self.clients[address] = RpcClient(address, self.interface)
         return self.clients[address]
 
     def drop(self, address: str) -> None:
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -9,11 +9,13 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
-from attrs import define, frozen
+import attrs
+from attrs import define, field, frozen
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
-from apricotvale import events
+from apricotvale import clock, events
 from apricotvale.codec import decode, encode
 from apricotvale.consensus.messages import (
     Entry,
@@ -26,10 +28,9 @@
 )
 from apricotvale.consensus.node import Node
 from apricotvale.consensus.storage import Storage, Stored
-from apricotvale.consensus.types import NotLeader, Ready, Role, Timing
+from apricotvale.consensus.types import GroupPolicy, NotLeader, Ready, Role, Timing
 from apricotvale.control.calls import JoinProbe, PeerBatch, ProbeReply
-from apricotvale.control.state import ControlState
-from apricotvale.daemons.rpc import RpcClient
+from apricotvale.daemons.rpc import CONTROL, Interface, RpcClient
 from apricotvale.daemons.runtime import TaskGroup
 from apricotvale.exceptions import DiskError, GroupMismatchError
 
@@ -38,6 +39,7 @@
 PEER_TIMEOUT_S = 1.0
 PEER_QUEUE = 256
 PROBE_S = 0.2
+ALONE_S = 1.0
 FIRST_INDEX = 1
 FIRST_TERM = 1
 SNAPSHOT_BYTES = 4 * 1024 * 1024
@@ -74,8 +76,8 @@
 class PeerLink:
     """Sends messages to one peer in batches, dropping the oldest when it does not keep up."""
 
-    def __init__(self, address: str) -> None:
-        self.client = RpcClient(address)
+    def __init__(self, address: str, interface: Interface) -> None:
+        self.client = RpcClient(address, interface)
         self.queue: deque[PeerMessage] = deque(maxlen=PEER_QUEUE)
         self.wake = asyncio.Event()
 
@@ -93,37 +95,80 @@
             self.queue.clear()
             try:
                 await self.client.send_peer(batch, PEER_TIMEOUT_S)
-            except Exception:
+            except Exception as error:
+                # A connection can go silent without a reset: only a new one shows.
+                events.emit(events.PEER_SILENT, address=self.client.address, error=repr(error))
+                self.client.close()
                 await asyncio.sleep(PEER_PAUSE_S)
 
 
+class StateMachine(Protocol):
+    """What committed entries change."""
+
+    def apply(self, entry: Entry) -> Any:
+        """Apply a committed entry; return its result."""
+
+    def dump(self) -> bytes:
+        """Return the state as a snapshot's content."""
+
+    def restore(self, content: bytes) -> None:
+        """Take the state from a snapshot; an empty one is the state before the first entry."""
+
+
+@define
+class Peers:
+    """Whom a replica may form or join a group with.
+
+    :param name: the replica's own name.
+    :param address: the replica's own address.
+    :param contacts: addresses of replicas to ask; with `founds` also those that form the group.
+    :param founds: whether this replica takes part in forming the first group.
+    :param replicas: address by name where the group is a fixed table of names.
+    :param policy: how the group keeps its size.
+    :param interface: the calls that the replicas answer.
+    """
+
+    name: str
+    address: str
+    contacts: list[str]
+    founds: bool = True
+    replicas: dict[str, str] = field(factory=dict)
+    policy: GroupPolicy = field(factory=GroupPolicy)
+    interface: Interface = CONTROL
+
+
+def fixed_peers(name: str, replicas: dict[str, str]) -> Peers:
+    """Return the peers of a replica in a fixed table of names."""
+    return Peers(name, replicas[name], sorted(replicas.values()), True, replicas)
+
+
 class Replica:
     """Drives one consensus node.
 
-    :param name: the replica's name, one of `replicas`.
-    :param replicas: address of each replica by name.
+    :param peers: with whom the replica forms or joins a group.
     :param storage: the replica's data folder.
     :param timing: protocol periods.
     :param on_applied: called after each batch of committed entries.
+    :param state: what committed entries change.
     """
 
     def __init__(
         self,
-        name: str,
-        replicas: dict[str, str],
+        peers: Peers,
         storage: Storage,
         timing: Timing,
         on_applied: Callable[[], None],
+        state: StateMachine,
     ) -> None:
-        self.name = name
-        self.replicas = replicas
+        self.peers = peers
+        self.name = peers.name
         self.storage = storage
         self.timing = timing
         self.on_applied = on_applied
-        self.state = ControlState()
+        self.state = state
         self.events: deque[Any] = deque()
         self.wake = asyncio.Event()
-        self.peers: dict[str, PeerLink] = {}
+        self.links: dict[str, PeerLink] = {}
         self.proposals: dict[tuple[int, int], asyncio.Future[Any]] = {}
         self.reads: dict[int, asyncio.Future[Any]] = {}
         self.disk_thread = ThreadPoolExecutor(1, "disk")
@@ -137,9 +182,11 @@
 
     def check_group(self) -> None:
         """Refuse settings that name other replicas than the data folder does."""
+        if not self.peers.replicas:
+            return
         stored = sorted({member.name for member in self.node.group.members})
-        if stored and stored != sorted(self.replicas):
-            raise GroupMismatchError(stored, sorted(self.replicas))
+        if stored and stored != sorted(self.peers.replicas):
+            raise GroupMismatchError(stored, sorted(self.peers.replicas))
 
     # -- calls from the daemon
 
@@ -148,14 +195,31 @@
         """Return whether this replica leads, after letting time pass."""
         if self.storage.failed is not None:
             return False
-        self.node.tick(time.monotonic())
+        self.node.tick(clock.now())
         return self.node.role is Role.LEADER
 
     def leader_address(self) -> str:
         """Return the leader's address as far as known."""
         if self.node.leader_id == self.node.data_id:
             return ""
-        return self.replicas.get(self.node.leader_name, "")
+        leader = self.node.group.find(self.node.leader_id)
+        return self.address_of(leader) if leader else ""
+
+    def address_of(self, member: GroupMember) -> str:
+        """Return where a member is reached; a table of fixed names goes first."""
+        return self.peers.replicas.get(member.name, member.address)
+
+    def addresses(self) -> list[str]:
+        """Return the addresses of all members as far as known, the leader's first."""
+        found = [self.address_of(member) for member in self.node.group.members]
+        leader = self.leader_address() or (self.peers.address if self.is_leader else "")
+        found.sort(key=lambda address: address != leader)
+        return found
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether the node leads as far as it knows."""
+        return self.node.role is Role.LEADER
 
     async def propose(self, payload: bytes) -> Any:
         """Commit a command; return its result, NotLeader or LostLeadership."""
@@ -175,6 +239,10 @@
         self.post(TransferEvent(future))
         return await future
 
+    def post_transfer(self) -> None:
+        """Hand leadership to a peer without waiting for it."""
+        self.post(TransferEvent(asyncio.get_running_loop().create_future()))
+
     def take_batch(self, batch: PeerBatch) -> None:
         """Take messages of a peer."""
         for message in batch.messages:
@@ -182,7 +250,10 @@
 
     def probe(self, probe: JoinProbe) -> ProbeReply:
         """Tell an empty replica what this one knows."""
-        return ProbeReply(self.name, self.node.data_id, self.is_empty(), self.node.leader_id)
+        node = self.node
+        return ProbeReply(
+            self.name, node.data_id, self.is_empty(), node.leader_id, self.addresses()
+        )
 
     def post(self, event: Any) -> None:
         """Queue an event for the task."""
@@ -194,12 +265,7 @@
     async def run(self) -> None:
         """Drive the node until cancelled, or until the disk fails."""
         async with self.tasks:
-            for name, address in self.replicas.items():
-                if name != self.name:
-                    self.peers[name] = PeerLink(address)
-                    self.tasks.start(self.peers[name].run())
-            if self.is_empty():
-                self.tasks.start(self.enter_group())
+            self.tasks.start(self.enter_group())
             try:
                 await self.loop()
             except DiskError as error:
@@ -213,7 +279,7 @@
             if not self.events and not self.node.has_work():
                 await self.wait_for_events()
             self.wake.clear()
-            now = time.monotonic()
+            now = clock.now()
             self.node.tick(now)
             while self.events:
                 self.handle(self.events.popleft(), now)
@@ -223,7 +289,7 @@
     async def wait_for_events(self) -> None:
         """Wait for an event, or until time matters to the node."""
         loop = asyncio.get_running_loop()
-        wait_s = min(MAX_WAIT_S, self.node.due_at() - time.monotonic())
+        wait_s = min(MAX_WAIT_S, self.node.due_at() - clock.now())
         timer = loop.call_later(max(0.0, wait_s), self.wake.set)
         try:
             await self.wake.wait()
@@ -245,7 +311,7 @@
     def handle(self, event: Any, now: float) -> None:
         """Hand one event to the node."""
         if isinstance(event, ProposeEvent):
-            entry = self.node.propose(event.payload, int(time.time() * 1000))
+            entry = self.node.propose(event.payload, wall_clock_ms())
             if isinstance(entry, NotLeader):
                 event.future.set_result(entry)
             else:
@@ -286,19 +352,29 @@
         await asyncio.get_running_loop().run_in_executor(self.disk_thread, work)
 
     def send_all(self, messages: list[PeerMessage]) -> None:
-        """Queue messages to their peers."""
+        """Queue messages to their peers.
+
+        A message to a data folder that is in no known group goes to every contact: all but the
+        one that it concerns ignore it.
+        """
         for message in messages:
             member = self.node.group.find(message.target)
-            name = member.name if member else message.target
-            if name in self.peers:
-                self.peers[name].send(message)
-            elif not member:
-                self.send_by_id(message)
-
-    def send_by_id(self, message: PeerMessage) -> None:
-        """Send to a data folder of an unknown replica: every peer ignores what is not its own."""
-        for peer in self.peers.values():
-            peer.send(message)
+            addresses = [self.address_of(member)] if member else self.contacts()
+            for address in addresses:
+                self.link(address).send(message)
+
+    def link(self, address: str) -> PeerLink:
+        """Return the link to an address."""
+        if address not in self.links:
+            self.links[address] = PeerLink(address, self.peers.interface)
+            self.tasks.start(self.links[address].run())
+        return self.links[address]
+
+    def contacts(self) -> list[str]:
+        """Return the addresses of all replicas known, without the own one."""
+        found = dict.fromkeys([*self.peers.contacts, *self.addresses()])
+        found.pop(self.peers.address, None)
+        return list(found)
 
     def apply_all(self, entries: list[Entry]) -> None:
         """Apply committed entries and answer those who wait for them."""
@@ -365,42 +441,68 @@
         """Form the first group when every replica is empty, else ask to join as a learner.
 
         A replica whose data folder is new must never vote as its predecessor. It forms a group
-        only if all others say that they are empty too.
+        only if all others say that they are empty too. In an open group a replica that hears no
+        leader asks again, since its place may have been given away.
         """
-        while self.is_empty():
-            replies = await self.probe_peers()
-            known = [reply for reply in replies if not reply.empty]
-            if known:
-                events.emit(events.JOINING, data_id=self.node.data_id)
-                self.ask_to_join()
-            elif len(replies) == len(self.replicas) - 1 and self.name == min(self.replicas):
-                await self.form_group(replies)
+        while True:
+            if self.is_empty():
+                await self.form_or_join()
+            elif self.peers.policy.open and self.is_alone():
+                await self.ask_to_join(await self.probe_peers())
+            elif not self.peers.policy.open:
                 return
             await asyncio.sleep(PROBE_S)
 
+    def is_alone(self) -> bool:
+        """Return whether the replica follows no leader and leads nobody."""
+        node = self.node
+        return not self.is_leader and clock.now() > node.leader_heard_at + ALONE_S
+
+    async def form_or_join(self) -> None:
+        """Take one step of an empty replica towards a group."""
+        replies = await self.probe_peers()
+        if any(not reply.empty for reply in replies):
+            await self.ask_to_join(replies)
+            return
+        wanted = [address for address in self.peers.contacts if address != self.peers.address]
+        first = self.peers.founds and self.peers.address == min(self.peers.contacts)
+        if first and len(replies) == len(wanted):
+            await self.form_group(replies)
+
     async def probe_peers(self) -> list[ProbeReply]:
-        """Ask every peer what it knows."""
+        """Ask every contact what it knows."""
         request = JoinProbe(self.name, self.node.data_id)
-        calls = [peer.client.call(request, PEER_TIMEOUT_S) for peer in self.peers.values()]
-        answers = await asyncio.gather(*calls, return_exceptions=True)
-        return [answer for answer in answers if isinstance(answer, ProbeReply)]
+        calls = [self.probe_peer(address, request) for address in self.contacts()]
+        return [reply for reply in await asyncio.gather(*calls) if reply is not None]
 
-    def ask_to_join(self) -> None:
+    async def probe_peer(self, address: str, request: JoinProbe) -> ProbeReply | None:
+        """Ask one contact what it knows; None if it does not answer."""
+        try:
+            reply = await self.link(address).client.call(request, PEER_TIMEOUT_S)
+        except (OSError, TimeoutError, GRPCError, ProtocolError, StreamTerminatedError) as error:
+            events.emit(events.PEER_SILENT, address=address, error=repr(error))
+            return None
+        return attrs.evolve(reply, address=address) if isinstance(reply, ProbeReply) else None
+
+    async def ask_to_join(self, replies: list[ProbeReply]) -> None:
         """Ask whoever leads for a place as a learner."""
-        address = self.replicas[self.name]
-        for peer in self.peers.values():
-            peer.send(JoinRequest(self.node.data_id, "", self.name, address))
+        events.emit(events.JOINING, data_id=self.node.data_id)
+        known = [address for reply in replies for address in reply.addresses]
+        request = JoinRequest(self.node.data_id, "", self.name, self.peers.address)
+        for address in dict.fromkeys([*self.contacts(), *known]):
+            if address != self.peers.address:
+                self.link(address).send(request)
 
     async def form_group(self, replies: list[ProbeReply]) -> None:
         """Write the first group, from which this replica starts an election."""
-        ids = {reply.name: reply.data_id for reply in replies}
-        ids[self.name] = self.node.data_id
-        members = (GroupMember(name, ids[name], address) for name, address in self.replicas.items())
+        members = [GroupMember(reply.name, reply.data_id, reply.address) for reply in replies]
+        members.append(GroupMember(self.name, self.node.data_id, self.peers.address))
+        members.sort(key=lambda member: member.name)
         snapshot = Snapshot(FIRST_INDEX, FIRST_TERM, 0, Group(tuple(members)), b"")
         hard_state = HardState(FIRST_TERM, "")
         await self.on_disk(partial(self.storage.save_snapshot, snapshot, hard_state, []))
         self.node = self.make_node(Stored(hard_state, snapshot, []))
-        events.emit(events.GROUP_FORMED, members=sorted(ids))
+        events.emit(events.GROUP_FORMED, members=[member.name for member in members])
 
     def make_node(self, stored: Stored) -> Node:
         """Return a node over what is stored, and set the state to its snapshot."""
@@ -412,11 +514,17 @@
             partial(encode, kind=Group),
             partial(decode, kind=Group),
             random.random,
-            time.monotonic(),
+            clock.now(),
             self.name,
+            self.peers.policy,
         )
 
 
+def wall_clock_ms() -> int:
+    """Return the time of day, which log entries carry for people; nothing is decided by it."""
+    return int(time.time() * 1000)
+
+
 def resolve(future: asyncio.Future[Any] | None, value: Any) -> None:
     """Set a result unless whoever waited has gone."""
     if future is not None and not future.done():
--- a/src/apricotvale/daemons/rpc.py
+++ b/src/apricotvale/daemons/rpc.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from typing import Any
 
+from attrs import frozen
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.config import Configuration
 from grpclib.const import Cardinality, Handler
@@ -17,11 +18,22 @@
 from apricotvale.codec import decode, encode
 from apricotvale.control.calls import CallReply, CallRequest, Delivered, PeerBatch
 
-CALL_PATH = "/apricotvale.Control/Call"
 PEER_PATH = "/apricotvale.Control/Peer"
 WINDOW_BYTES = 4 * 1024 * 1024
 
 
+@frozen
+class Interface:
+    """The calls of one kind of server: where they go, and the unions of messages they carry."""
+
+    path: str
+    request: Any
+    reply: Any
+
+
+CONTROL = Interface("/apricotvale.Control/Call", CallRequest, CallReply)
+
+
 class MessageCodec(CodecBase):
     """grpclib's codec interface over the project's messages."""
 
@@ -50,9 +62,11 @@
         self,
         on_call: Callable[[Any], Awaitable[Any]],
         on_peer: Callable[[PeerBatch], None],
+        interface: Interface = CONTROL,
     ) -> None:
         self.on_call = on_call
         self.on_peer = on_peer
+        self.interface = interface
 
     async def call(self, stream: Stream[Any, Any]) -> None:
         """Answer one call; a caller that has gone gets no answer."""
@@ -71,7 +85,9 @@
     def __mapping__(self) -> dict[str, Handler]:
         unary = Cardinality.UNARY_UNARY
         return {
-            CALL_PATH: Handler(self.call, unary, CallRequest, CallReply),  # type: ignore[arg-type]
+            self.interface.path: Handler(
+                self.call, unary, self.interface.request, self.interface.reply
+            ),
             PEER_PATH: Handler(self.peer, unary, PeerBatch, Delivered),
         }
 
@@ -97,12 +113,12 @@
 class RpcClient:
     """A connection to one control replica."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, interface: Interface = CONTROL) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
         self.channel = Channel(host, int(port), codec=MessageCodec(), config=window_configuration())
         self.call_method: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
-            self.channel, CALL_PATH, CallRequest, CallReply  # type: ignore[arg-type]
+            self.channel, interface.path, interface.request, interface.reply
         )
         self.peer_method: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
             self.channel, PEER_PATH, PeerBatch, Delivered
--- a/src/apricotvale/settings/loader.py
+++ b/src/apricotvale/settings/loader.py
@@ -57,6 +57,8 @@
             return self.build_dict(get_args(kind)[1], value, key)
         if isinstance(kind, type) and issubclass(kind, Enum):
             return self.build_enum(kind, value, key)
+        if kind is float and type(value) is int:
+            return float(value)
         if type(value) is not kind:
             self.report(key, value, f"a value of type {kind.__name__}")
             return None
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -17,7 +17,8 @@
     frame,
 )
 from apricotvale.consensus.types import Timing
-from apricotvale.daemons.replica import Replica
+from apricotvale.control.state import ControlState
+from apricotvale.daemons.replica import Replica, fixed_peers
 from apricotvale.exceptions import (
     DataFolderError,
     DataFormatError,
@@ -140,4 +141,5 @@
     storage.save_snapshot(Snapshot(1, 1, 0, group, b""), HardState(1), [])
     again = Storage(storage.disk, "a")
     with pytest.raises(GroupMismatchError):
-        Replica("a", {"a": "x:1", "c": "y:1"}, again, Timing(), lambda: None)
+        peers = fixed_peers("a", {"a": "x:1", "c": "y:1"})
+        Replica(peers, again, Timing(), lambda: None, ControlState())
