Serve the users' platform: routes, registry, jobs, load orders and the adapter

Cause: the platform speaks routes by host and prefix, heartbeats of upstreams, submitted jobs and load orders; the product had none of them. Ruled out: running items in the entries under leases (one leader knows every place it fills); sidecars (anybody may call an upstream); control apart on core machines (3 VMs more). Change: aggregates routes, discovery, jobs and weights.orders without I/O; fleet state machine; daemons fleet_control, job_runner, load_tender, fleet_link, forwarder; adapter in platform/.

--- /dev/null
+++ b/src/apricotvale/daemons/forwarder.py
@@ -0,0 +1,131 @@
+"""Sends requests straight to upstreams, with retries, second copies and cancellation."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from apricotvale import clock, events
+from apricotvale.discovery import RegistryView, Upstream
+from apricotvale.outcomes import Ran, Reason, Refusal
+from apricotvale.requests.calls import Answer, Call, UpstreamClient
+from apricotvale.requests.forwarding import ForwardedRequest
+from apricotvale.requests.routing import Router
+from apricotvale.routes import Route
+from apricotvale.routes.table import choose_services
+from apricotvale.settings.schema import Routing
+
+RETRY_AFTER_S = 0.2
+BROKEN = (Reason.UPSTREAM_UNREACHABLE, Reason.UPSTREAM_LOST, Reason.UPSTREAM_GARBLED)
+
+
+class Forwarder:
+    """Forwards requests by routes.
+
+    :param site: the process's failure domain; its upstreams win a tie.
+    :param view: the upstreams known.
+    :param client: sends to upstreams.
+    """
+
+    def __init__(self, site: str, view: RegistryView, client: UpstreamClient) -> None:
+        self.view = view
+        self.client = client
+        self.rng = random.Random()
+        self.router = Router(site, Routing(), self.rng)
+
+    async def forward(self, route: Route, call: Call) -> Answer | Refusal:
+        """Return the final answer to a request.
+
+        Cancelling it closes the connections of all copies, so that the upstreams stop.
+        """
+        request = ForwardedRequest(route, call.deadline)
+        copies: set[asyncio.Task[Answer | Refusal]] = set()
+        try:
+            while True:
+                now = clock.now()
+                if request.may_send(now):
+                    upstream = self.choose(request, call, now)
+                    if upstream is not None:
+                        request.begin(upstream.incarnation, now)
+                        copies.add(asyncio.create_task(self.send(upstream, call)))
+                        continue
+                    request.hedge_at = float("inf")
+                if not copies or now >= call.deadline:
+                    return self.give_up(request, call, now)
+                wait_s = min(call.deadline, request.hedge_at) - now
+                done, copies = await asyncio.wait(
+                    copies, timeout=max(0.0, wait_s), return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    answer = request.finish(task.result())
+                    if answer is not None:
+                        return answer
+        finally:
+            for task in copies:
+                task.cancel()
+
+    def choose(self, request: ForwardedRequest, call: Call, now: float) -> Upstream | None:
+        """Return the upstream for the next sending, None if there is none left."""
+        for service in choose_services(request.route, self.rng.random):
+            candidates = self.view.ready(service)
+            if not candidates:
+                continue
+            choice = self.router.choose(candidates, now, excluded=request.sent)
+            if isinstance(choice, Refusal):
+                continue
+            events.emit(
+                events.HEDGED if request.running else events.ROUTED,
+                request=call.request_id,
+                route=request.route.name,
+                upstream=choice.member.incarnation,
+                why=choice.why,
+                candidates=choice.candidates,
+                view=self.view.position,
+                attempt=len(request.sent) + 1,
+            )
+            return choice.member
+        return None
+
+    async def send(self, upstream: Upstream, call: Call) -> Answer | Refusal:
+        """Send one copy, and tell the router how the upstream did."""
+        began = clock.now()
+        self.router.begin(upstream)
+        try:
+            result = await self.client.call(upstream, call)
+        finally:
+            self.router.end(upstream)
+        if not isinstance(result, Refusal):
+            self.router.succeed(upstream)
+            self.router.observe(upstream, clock.now() - began, 1)
+            return result
+        events.emit(
+            events.ATTEMPT_FAILED,
+            request=call.request_id,
+            upstream=upstream.incarnation,
+            reason=result.reason,
+            ran=result.ran,
+            detail=result.detail,
+        )
+        if result.reason in BROKEN and self.router.fail(upstream, clock.now()):
+            events.emit(events.EJECTED, upstream=upstream.incarnation)
+        return result
+
+    def give_up(self, request: ForwardedRequest, call: Call, now: float) -> Answer | Refusal:
+        """Return the final answer of a request that no upstream answered well."""
+        result = request.give_up(now, RETRY_AFTER_S)
+        if isinstance(result, Refusal):
+            events.emit(
+                events.REFUSED,
+                request=call.request_id,
+                route=request.route.name,
+                reason=result.reason,
+                ran=result.ran,
+                attempts=len(request.sent),
+                left_ms=round((call.deadline - now) * 1000),
+            )
+        return result
+
+
+def promises_not_run(refusal: Refusal) -> bool:
+    """Return whether a refusal may tell the caller that nothing ran."""
+    return refusal.ran is Ran.NOT_RUN
--- /dev/null
+++ b/src/apricotvale/discovery/__init__.py
@@ -0,0 +1,21 @@
+"""Upstreams as they announce themselves by heartbeats."""
+
+from apricotvale.discovery.registry import (
+    Departed,
+    Registry,
+    RegistryState,
+    RegistryView,
+    Standing,
+    Upstream,
+    UpstreamDelta,
+)
+
+__all__ = [
+    "Departed",
+    "Registry",
+    "RegistryState",
+    "RegistryView",
+    "Standing",
+    "Upstream",
+    "UpstreamDelta",
+]
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -42,10 +42,13 @@
 RETRIED = event(202, "retried", "INFO", "A request goes to another upstream.")
 EJECTED = event(203, "ejected", "WARNING", "An upstream failed repeatedly and is left out.")
 HEDGED = event(204, "hedged", "INFO", "A second copy of an idempotent request was sent.")
+ANSWERED = event(209, "answered", "INFO", "A request got its final answer.")
 STREAM_CUT = event(205, "stream-cut", "WARNING", "A stream ended before its end marker.")
 CANCELLED = event(206, "cancelled", "INFO", "A caller went away and the work was cancelled.")
 PREEMPTED = event(207, "preempted", "INFO", "A sample made room for interactive work.")
 
+ATTEMPT_FAILED = event(208, "attempt-failed", "INFO", "An upstream did not answer a request.")
+
 CLAIM_GRANTED = event(300, "claim-granted", "INFO", "A non-idempotent request may run once.")
 CLAIM_REPLAYED = event(301, "claim-replayed", "INFO", "A resend got the recorded outcome.")
 CLAIM_RESOLVED = event(302, "claim-resolved", "INFO", "A resend asked the sidecar that holds it.")
@@ -60,12 +63,22 @@
 STRAGGLER = event(406, "straggler", "INFO", "A slow sample was sent to a second engine.")
 SAMPLE_STOPPED = event(407, "sample-stopped", "INFO", "Generation was stopped as not needed.")
 
+JOB_ACCEPTED = event(410, "job-accepted", "INFO", "A job was committed, or was held already.")
+JOB_ENDED = event(411, "job-ended", "INFO", "A job was ended by its caller.")
+ITEM_PLACED = event(412, "item-placed", "INFO", "An item was sent to an engine, and why.")
+ITEM_CUT = event(413, "item-cut", "INFO", "A run of an item ended early; it goes on elsewhere.")
+ITEM_LISTED = event(414, "item-listed", "INFO", "An item's result has its position.")
+REWARD_FAILED = event(415, "reward-failed", "INFO", "A reward call was not answered well.")
+RUNNER_STARTED = event(416, "runner-started", "INFO", "A leader starts to run open jobs.")
+RUNNER_STOPPED = event(417, "runner-stopped", "INFO", "A former leader stopped all its runs.")
+
 ROLE_CHANGED = event(500, "role-changed", "INFO", "A control replica's role or term changed.")
 JOINING = event(501, "joining", "WARNING", "A replica with a new data folder asks to join.")
 GROUP_FORMED = event(502, "group-formed", "INFO", "The first group of replicas was formed.")
 SNAPSHOT_SAVED = event(503, "snapshot-saved", "DEBUG", "The state was saved and the log cut.")
 SNAPSHOT_INSTALLED = event(504, "snapshot-installed", "INFO", "A leader's snapshot was taken.")
 DISK_FAILED = event(505, "disk-failed", "ERROR", "A write failed; the replica stops voting.")
+PEER_SILENT = event(507, "peer-silent", "DEBUG", "A control replica did not answer a peer.")
 GROUP_CHANGED = event(506, "group-changed", "INFO", "The group of control replicas changed.")
 
 MEMBER_JOINED = event(600, "member-joined", "INFO", "A process announced itself.")
@@ -76,11 +89,20 @@
 CONTROL_LOST = event(605, "control-lost", "WARNING", "No control replica confirms the view.")
 CONTROL_FOUND = event(606, "control-found", "INFO", "The view is confirmed again.")
 
+VIEW_CHANGED = event(607, "view-changed", "INFO", "An entry learned of upstreams.")
+UPSTREAM_CHANGED = event(608, "upstream-changed", "INFO", "An upstream's state was committed.")
+UPSTREAM_SILENT = event(609, "upstream-silent", "WARNING", "An upstream was not heard for long.")
+HEARTBEAT_LATE = event(610, "heartbeat-late", "INFO", "An old heartbeat was ignored.")
+INPUT_REJECTED = event(611, "input-rejected", "WARNING", "Input that cannot be read was rejected.")
+REPLICA_RETIRING = event(612, "replica-retiring", "INFO", "A control replica is to be emptied.")
+
 WEIGHTS_PUBLISHED = event(700, "weights-published", "INFO", "A trainer published a version.")
 SWAP_GRANTED = event(701, "swap-granted", "INFO", "An engine may load a version, and why now.")
 SWAP_DONE = event(702, "swap-done", "INFO", "An engine states that it serves a version.")
 SWAP_FAILED = event(703, "swap-failed", "WARNING", "An engine could not load a version.")
 ORDER_REFUSED = event(704, "order-refused", "WARNING", "An order had an old fencing number.")
+LOAD_ORDERED = event(705, "load-ordered", "INFO", "An engine was told to load a version.")
+LOAD_POSTPONED = event(706, "load-postponed", "INFO", "An engine did not take a load order.")
 
 
 def configure(process: str, log_format: str = "json", level: str = "INFO") -> None:
--- /dev/null
+++ b/src/apricotvale/jobs/__init__.py
@@ -0,0 +1,6 @@
+"""Jobs: many requests submitted at once, run later, whose results keep their positions."""
+
+from apricotvale.jobs.book import JobBook, JobBookState
+from apricotvale.jobs.types import Item, ItemState, Job, Result, RewardCall
+
+__all__ = ["Item", "ItemState", "Job", "JobBook", "JobBookState", "Result", "RewardCall"]
--- /dev/null
+++ b/src/apricotvale/platform/requests.py
@@ -0,0 +1,190 @@
+"""The callers' side: requests by route, jobs, and the readiness check."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from aiohttp import web
+
+from apricotvale import clock, events
+from apricotvale.daemons.entry_of_fleet import FleetEntry
+from apricotvale.exceptions import BadInputError
+from apricotvale.fleet import calls
+from apricotvale.outcomes import Ran, Reason, Refusal, not_run
+from apricotvale.platform import names, wire
+from apricotvale.requests.calls import Answer, Call
+from apricotvale.routes import Route, RouteKind
+
+STATUS_BY_REASON = {
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.BAD_REQUEST: 400,
+    Reason.BODY_TOO_LARGE: 413,
+}
+# Status of failures that promise nothing.
+LOST_STATUS = 502
+EXPIRED_STATUS = 504
+REFUSED_STATUS = 503
+
+
+class RequestInterface:
+    """Handlers of everything that callers send."""
+
+    def __init__(self, entry: FleetEntry) -> None:
+        self.entry = entry
+
+    def make_app(self) -> web.Application:
+        """Return the application on the callers' address."""
+        app = web.Application(client_max_size=64 * 1024 * 1024)
+        app.router.add_get(names.RESULTS_PATH, self.on_results)
+        app.router.add_delete(names.RESULTS_PATH, self.on_end_job)
+        app.router.add_get(names.ITEM_PATH, self.on_item)
+        app.router.add_route("*", "/{path:.*}", self.on_request)
+        app.on_response_prepare.append(self.close_while_stopping)
+        return app
+
+    def make_readiness_app(self) -> web.Application:
+        """Return the application on the readiness address."""
+        app = web.Application()
+        app.router.add_get(names.READY_PATH, self.on_ready)
+        return app
+
+    async def on_ready(self, request: web.Request) -> web.Response:
+        """Answer the readiness check."""
+        return web.Response(status=200 if self.entry.is_ready else 503)
+
+    async def close_while_stopping(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Ask callers to open no further requests on the connections of a stopping entry."""
+        if self.entry.stopping:
+            response.headers["Connection"] = "close"
+            response.force_close()
+
+    async def on_request(self, request: web.Request) -> web.StreamResponse:
+        """Forward a request by its route, or take a job."""
+        arrived = clock.now()
+        request_id = request.headers.get(names.REQUEST_ID, "")
+        with self.entry.working():
+            route = self.entry.match(request.host, request.raw_path.partition("?")[0])
+            if isinstance(route, Refusal):
+                return refusal_response(route, request_id)
+            try:
+                body = await request.read()
+            except web.HTTPRequestEntityTooLarge:
+                return refusal_response(not_run(Reason.BODY_TOO_LARGE), request_id)
+            if route.kind is RouteKind.JOB:
+                return await self.submit(request, request_id, body)
+            call = Call(
+                request.method,
+                request.raw_path,
+                request.headers.get("Host", ""),
+                request_id,
+                body,
+                deadline_of(request, route, arrived),
+                end_to_end(request),
+            )
+            result = await self.entry.forward(route, call, arrived)
+            if isinstance(result, Refusal):
+                return refusal_response(result, request_id)
+            return answer_response(result)
+
+    # -- jobs
+
+    async def submit(self, request: web.Request, request_id: str, body: bytes) -> web.Response:
+        """Take a job; without a clear answer from control nothing is promised."""
+        if request.method != "POST" or not request_id:
+            return refusal_response(not_run(Reason.BAD_REQUEST, "not a submission"), request_id)
+        try:
+            job = wire.parse_job(request_id, request.host, request.raw_path, body)
+        except BadInputError as error:
+            events.emit(events.INPUT_REJECTED, request=request_id, error=error.format_message())
+            return refusal_response(not_run(Reason.BAD_REQUEST, str(error)), request_id)
+        reply = await self.entry.call_control(calls.SubmitJob(job), request_id)
+        if isinstance(reply, calls.Accepted):
+            return web.Response(status=202)
+        return web.Response(status=EXPIRED_STATUS)
+
+    async def on_results(self, request: web.Request) -> web.Response:
+        """Return a job's results from a position on."""
+        job_id = request.match_info["id"]
+        after = parse_count(request.query.get("after", "0"))
+        wait_ms = parse_count(request.headers.get(names.WAIT_MS, "0"))
+        if after is None or wait_ms is None:
+            return refusal_response(not_run(Reason.BAD_REQUEST, "not a position"), job_id)
+        with self.entry.working():
+            read = calls.ReadResults(job_id, after, wait_ms)
+            reply = await self.entry.call_control(read, job_id, wait_ms / 1000)
+        if isinstance(reply, calls.ResultsRead):
+            return web.json_response(wire.format_results(reply))
+        return read_failure(reply, job_id)
+
+    async def on_item(self, request: web.Request) -> web.Response:
+        """Return the body of an item that is not listed."""
+        job_id = request.match_info["id"]
+        with self.entry.working():
+            read = calls.ReadItem(job_id, request.query.get("id", ""))
+            reply = await self.entry.call_control(read, job_id)
+        if isinstance(reply, calls.ItemRead):
+            return web.Response(body=reply.body)
+        return read_failure(reply, job_id)
+
+    async def on_end_job(self, request: web.Request) -> web.Response:
+        """End a job."""
+        job_id = request.match_info["id"]
+        with self.entry.working():
+            reply = await self.entry.call_control(calls.EndJob(job_id), job_id)
+        if isinstance(reply, calls.Accepted):
+            return web.Response(status=200)
+        return read_failure(reply, job_id)
+
+
+def deadline_of(request: web.Request, route: Route, arrived: float) -> float:
+    """Return when a request is answered at the latest: by its caller or its route."""
+    left_ms = parse_count(request.headers.get(names.DEADLINE_MS, ""))
+    timeout_ms = route.timeout_ms if left_ms is None else min(left_ms, route.timeout_ms)
+    return arrived + timeout_ms / 1000
+
+
+def parse_count(text: str) -> int | None:
+    """Return a whole number that is not negative, None for anything else."""
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def end_to_end(request: web.Request) -> tuple[tuple[str, str], ...]:
+    """Return the header fields that go on to the upstream."""
+    named = {part.strip().lower() for part in request.headers.get("Connection", "").split(",")}
+    return tuple(
+        (name, value)
+        for name, value in request.headers.items()
+        if name.lower() not in names.HOP_BY_HOP and name.lower() not in named
+    )
+
+
+def answer_response(answer: Answer) -> web.Response:
+    """Return an upstream's answer unchanged."""
+    response = web.Response(status=answer.status, body=answer.body)
+    response.headers.popall("Content-Type", None)
+    for name, value in answer.headers:
+        response.headers.add(name, value)
+    return response
+
+
+def refusal_response(refusal: Refusal, request_id: str) -> web.Response:
+    """Return the answer to a request that was refused or failed."""
+    status = STATUS_BY_REASON.get(refusal.reason)
+    if status is None and refusal.ran is Ran.NOT_RUN:
+        status = REFUSED_STATUS
+    elif status is None:
+        expired = refusal.reason is Reason.DEADLINE_EXPIRED
+        status = EXPIRED_STATUS if expired else LOST_STATUS
+    headers = {names.REQUEST_ID: request_id} if request_id else {}
+    if refusal.retry_after_s is not None and status == REFUSED_STATUS:
+        headers[names.RETRY_AFTER] = f"{refusal.retry_after_s:.3f}"
+    return web.json_response(refusal.problem(request_id), status=status, headers=headers)
+
+
+def read_failure(reply: Any, job_id: str) -> web.Response:
+    """Return the answer to a read that found nothing or could not be sure."""
+    if isinstance(reply, calls.NotFound):
+        return web.Response(status=404)
+    return refusal_response(not_run(Reason.NO_QUORUM, "control is not sure", 0.2), job_id)
--- /dev/null
+++ b/src/apricotvale/platform/start.py
@@ -0,0 +1,66 @@
+"""Starts a process on the platform, by its role."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from apricotvale import events
+from apricotvale.daemons.entry_of_fleet import FleetEntry
+from apricotvale.daemons.fleet_control import FleetControl
+from apricotvale.daemons.runtime import HttpServer, run
+from apricotvale.exceptions import ApricotvaleError
+from apricotvale.platform import names, wire
+from apricotvale.platform.client import PlatformClient
+from apricotvale.platform.interface import ControlInterface
+from apricotvale.platform.requests import RequestInterface
+from apricotvale.settings.fleet import FleetSettings, load_fleet
+
+SETTINGS_VARIABLE = "APRICOTVALE_BOOT"
+
+
+async def run_entry(settings: FleetSettings, stop: asyncio.Event) -> None:
+    """Serve callers until told to stop."""
+    async with AsyncExitStack() as stack:
+        client = await stack.enter_async_context(PlatformClient())
+        entry = FleetEntry(settings, client, wire.parse_table)
+        interface = RequestInterface(entry)
+        readiness = HttpServer(interface.make_readiness_app(), settings.readiness)
+        await stack.enter_async_context(readiness)
+        server = await stack.enter_async_context(
+            HttpServer(interface.make_app(), settings.requests)
+        )
+        events.emit(events.STARTED, listen=settings.requests)
+        await entry.run(stop)
+        await server.stop_accepting()
+        await entry.finish_requests()
+        entry.close()
+    events.emit(events.STOPPED)
+
+
+async def run_control(settings: FleetSettings, stop: asyncio.Event) -> None:
+    """Serve operators, trainers, upstreams and entries until told to stop."""
+    async with AsyncExitStack() as stack:
+        client = await stack.enter_async_context(PlatformClient())
+        control = FleetControl(settings, client, wire.parse_table, names.EVENT_VERSION_FIELD)
+        server = HttpServer(ControlInterface(control).make_app(), settings.interface)
+        await stack.enter_async_context(server)
+        await control.run(stop)
+
+
+ROLES = {"entry": run_entry, "control": run_control}
+
+
+def main() -> None:
+    """Run the role that the first argument names."""
+    role = ROLES[sys.argv[1]]
+    try:
+        settings = load_fleet(Path(os.environ[SETTINGS_VARIABLE]))
+    except ApricotvaleError as error:
+        sys.stderr.write(f"Error: {error.format_message()}\n")
+        sys.exit(error.exit_code)
+    events.configure(settings.name, level=settings.log_level)
+    run(lambda stop: role(settings, stop))
--- a/src/apricotvale/requests/routing.py
+++ b/src/apricotvale/requests/routing.py
@@ -9,11 +9,11 @@
 
 import random
 from collections.abc import Callable, Iterable
+from typing import Generic, Protocol, TypeVar
 
 from attrs import define, field, frozen
 
 from apricotvale.hashing import hash64
-from apricotvale.membership.roster import Member
 from apricotvale.outcomes import RETRY_AFTER_S, Reason, Refusal, not_run
 from apricotvale.settings.schema import Routing
 
@@ -24,6 +24,25 @@
 JUMP_FACTOR = 2862933555777941757
 
 
+class Candidate(Protocol):
+    """What may be chosen: a sidecar, or an upstream that is called directly."""
+
+    @property
+    def name(self) -> str:
+        """Return the name in logs."""
+
+    @property
+    def site(self) -> str:
+        """Return the failure domain."""
+
+    @property
+    def incarnation(self) -> str:
+        """Return what tells this start from others."""
+
+
+C = TypeVar("C", bound=Candidate)
+
+
 @define
 class Pace:
     """How long an upstream takes for a token, from decaying sums."""
@@ -65,10 +84,10 @@
 
 
 @frozen
-class Choice:
+class Choice(Generic[C]):
     """The upstream chosen, and why."""
 
-    member: Member
+    member: C
     why: str
     candidates: int
     considered: tuple[Considered, ...]
@@ -88,14 +107,14 @@
     rng: random.Random
     loads: dict[str, UpstreamLoad] = field(factory=dict)
 
-    def load_of(self, member: Member) -> UpstreamLoad:
+    def load_of(self, member: Candidate) -> UpstreamLoad:
         """Return the load record of a member's incarnation."""
         load = self.loads.get(member.incarnation)
         if load is None:
             load = self.loads[member.incarnation] = UpstreamLoad()
         return load
 
-    def cost(self, member: Member, now: float) -> float:
+    def cost(self, member: Candidate, now: float) -> float:
         """Return own requests in flight, plus others' by a report that is not too old."""
         load = self.load_of(member)
         age_ms = (now - load.reported_at) * 1000
@@ -106,12 +125,12 @@
 
     def choose(
         self,
-        candidates: list[Member],
+        candidates: list[C],
         now: float,
         affinity: str = "",
         excluded: Iterable[str] = (),
-        handicap: Callable[[Member], float] | None = None,
-    ) -> Choice | Refusal:
+        handicap: Callable[[C], float] | None = None,
+    ) -> Choice[C] | Refusal:
         """Return the upstream for a request, or a refusal when there is none.
 
         :param candidates: eligible members.
@@ -137,8 +156,8 @@
         return Choice(chosen, why, len(left), considered)
 
     def weighing(
-        self, sampled: list[Member], now: float, handicap: Callable[[Member], float]
-    ) -> Callable[[Member], float]:
+        self, sampled: list[C], now: float, handicap: Callable[[C], float]
+    ) -> Callable[[C], float]:
         """Return the cost by which candidates are compared.
 
         An engine that takes clearly longer for a token than the fastest one counts its requests,
@@ -147,7 +166,7 @@
         paces = [pace for m in sampled if (pace := self.load_of(m).pace.seconds_a_token)]
         fastest = min(paces, default=0.0)
 
-        def weigh(member: Member) -> float:
+        def weigh(member: C) -> float:
             cost = self.cost(member, now) + handicap(member)
             pace = self.load_of(member).pace.seconds_a_token
             if pace < fastest * CLEARLY_SLOWER:
@@ -156,7 +175,7 @@
 
         return weigh
 
-    def sample(self, candidates: list[Member], now: float) -> tuple[list[Member], str]:
+    def sample(self, candidates: list[C], now: float) -> tuple[list[C], str]:
         """Return a few healthy candidates to compare, and why these.
 
         Among many, a random few are drawn first and all are looked at only if none is healthy.
@@ -171,7 +190,7 @@
             return healthy[:SAMPLE_SIZE], "least loaded"
         return candidates[:SAMPLE_SIZE], "least loaded of the ejected"
 
-    def is_healthy(self, member: Member, now: float) -> bool:
+    def is_healthy(self, member: Candidate, now: float) -> bool:
         """Return whether a member is not ejected; after an ejection one request at a time."""
         load = self.loads.get(member.incarnation)
         if load is None or not load.ejections:
@@ -180,32 +199,32 @@
             return False
         return not load.failures or load.in_flight == 0
 
-    def begin(self, member: Member) -> None:
+    def begin(self, member: Candidate) -> None:
         """Count a request that is sent."""
         self.load_of(member).in_flight += 1
 
-    def end(self, member: Member) -> None:
+    def end(self, member: Candidate) -> None:
         """Count a request that is over."""
         self.load_of(member).in_flight -= 1
 
-    def report(self, member: Member, active: int, now: float) -> None:
+    def report(self, member: Candidate, active: int, now: float) -> None:
         """Take the load that an answer carried."""
         load = self.load_of(member)
         load.reported = active
         load.in_flight_at_report = load.in_flight
         load.reported_at = now
 
-    def observe(self, member: Member, seconds: float, tokens: int) -> None:
+    def observe(self, member: Candidate, seconds: float, tokens: int) -> None:
         """Take how long a member took for a request of so many tokens."""
         self.load_of(member).pace.add(seconds, tokens)
 
-    def succeed(self, member: Member) -> None:
+    def succeed(self, member: Candidate) -> None:
         """Note a success, which ends an ejection."""
         load = self.load_of(member)
         load.failures = 0
         load.ejections = 0
 
-    def fail(self, member: Member, now: float) -> bool:
+    def fail(self, member: Candidate, now: float) -> bool:
         """Note a failure; return whether the upstream is ejected by it."""
         load = self.load_of(member)
         load.failures += 1
@@ -223,12 +242,12 @@
                 del self.loads[incarnation]
 
 
-def no_handicap(member: Member) -> float:
+def no_handicap(member: Candidate) -> float:
     """Return no handicap."""
     return 0.0
 
 
-def preferred_member(members: list[Member], affinity: str) -> Member:
+def preferred_member(members: list[C], affinity: str) -> C:
     """Return the member that a prompt prefers.
 
     Jump consistent hashing (Lamping and Veach, 2014) over the members in their order: when one
@@ -243,7 +262,7 @@
     return members[bucket]
 
 
-def subset(members: list[Member], entry: str, size: int) -> list[Member]:
+def subset(members: list[C], entry: str, size: int) -> list[C]:
     """Return the members that one entry uses, the same each time and evenly spread."""
     if not size or len(members) <= size:
         return members
