Read settings again at SIGHUP, elect sooner after a start, wait for the first table

Ruled out: a shorter election timeout in general (a slow follower would depose a living leader). Change: SIGHUP reads the settings again and takes the contacts; a replica that starts waits 0.3 to 0.7 of a timeout; an entry waits up to 1 s for its first table.

--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -37,6 +37,10 @@
 ELECTION_SPREAD = 0.5
 RETRY_LEAST = 0.1
 RETRY_SPREAD = 0.4
+# A replica that starts waits for a heartbeat or two of a living leader, not a whole timeout: after a
+# loss of all replicas nobody leads, and callers wait.
+START_LEAST = 0.3
+START_SPREAD = 0.4
 
 
 class Node:
@@ -92,7 +96,7 @@
         self.read_requested = False
         self.term_start_index = 0
         self.ready = Ready()
-        self.election_at = self.later(now)
+        self.election_at = now + timing.election_s * (START_LEAST + START_SPREAD * jitter())
 
     # -- state shared by every role
 
--- a/src/apricotvale/daemons/entry_of_fleet.py
+++ b/src/apricotvale/daemons/entry_of_fleet.py
@@ -18,6 +18,8 @@
 from apricotvale.settings.fleet import FleetSettings
 
 NOT_READY_RETRY_S = 0.5
+# Control elects a leader within about half a second after a loss of all replicas.
+FIRST_TABLE_S = 1.0
 CONTROL_CALL_S = 2.5
 # The balancer asks once a second and takes an entry out after two misses; until then it sends new
 # connections.
@@ -48,6 +50,10 @@
         """Return whether a table is in force and the entry is not leaving."""
         return self.link.table is not None and not self.stopping
 
+    def take_settings(self, settings: FleetSettings) -> None:
+        """Take settings that were read again; only the contacts change while the entry runs."""
+        self.link.take_contacts(settings.contact_addresses())
+
     @contextmanager
     def working(self) -> Iterator[None]:
         """Count a request in flight."""
@@ -60,6 +66,11 @@
             if not self.active:
                 self.idle.set()
 
+    async def wait_for_table(self) -> None:
+        """Wait a moment for the first table after a start: it mostly comes within it."""
+        if self.link.table is None:
+            await wait_event(self.link.has_table, FIRST_TABLE_S)
+
     def match(self, host: str, path: str) -> Route | Refusal:
         """Return the route of a request, or why there is none."""
         if self.link.table is None:
--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -35,7 +35,7 @@
 from apricotvale.settings.fleet import FleetSettings
 
 DUTY_S = 0.1
-TIMING = Timing(heartbeat_s=0.1, election_s=0.6)
+TIMING = Timing(heartbeat_s=0.15, election_s=0.6)
 # A voter that was silent for so long gives its place to a spare replica. Longer than a restart of
 # the process, shorter than the time that a replaced VM has to catch up.
 REPLACE_AFTER_S = 1.5
@@ -125,6 +125,10 @@
         self.disk.release()
         events.emit(events.STOPPED)
 
+    def take_settings(self, settings: FleetSettings) -> None:
+        """Take settings that were read again; only the contacts change while the replica runs."""
+        self.replica.peers.contacts = settings.contact_addresses()
+
     async def hand_over(self) -> None:
         """Ask a peer to take the lead and wait until it has."""
         self.stopping = True
--- a/src/apricotvale/daemons/fleet_link.py
+++ b/src/apricotvale/daemons/fleet_link.py
@@ -32,11 +32,13 @@
 
     def __init__(self, contacts: list[str], parse_table: Callable[[bytes], RouteTable]) -> None:
         self.contacts = contacts
+        self.addresses: list[str] = []
         self.parse_table = parse_table
         self.watcher = ControlClient(contacts, FLEET)
         self.caller = ControlClient(contacts, FLEET)
         self.view = RegistryView()
         self.table: RouteTable | None = None
+        self.has_table = asyncio.Event()
         self.confirmed_at = float("-inf")
 
     @property
@@ -89,7 +91,13 @@
         self.view.apply(reply.upstreams)
         if reply.document:
             self.take_table(reply.document)
-        addresses = list(dict.fromkeys([*reply.addresses, *self.contacts]))
+        self.addresses = reply.addresses
+        self.take_contacts(self.contacts)
+
+    def take_contacts(self, contacts: list[str]) -> None:
+        """Ask the replicas last known first, then the contacts of the settings."""
+        self.contacts = contacts
+        addresses = list(dict.fromkeys([*self.addresses, *contacts]))
         self.watcher.addresses = addresses
         self.caller.addresses = addresses
 
@@ -102,6 +110,7 @@
             return
         if self.table is None or table.version > self.table.version:
             self.table = table
+            self.has_table.set()
             events.emit(events.CONFIG_IN_FORCE, revision=table.version, routes=len(table.routes))
 
     def close(self) -> None:
--- a/src/apricotvale/daemons/runtime.py
+++ b/src/apricotvale/daemons/runtime.py
@@ -113,6 +113,11 @@
     return event
 
 
+def on_reload(reload: Callable[[], None]) -> None:
+    """Call a function at each SIGHUP, by which operators say that the settings changed."""
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+
+
 def run(main: Callable[[asyncio.Event], Awaitable[None]]) -> None:
     """Run a daemon until it is told to stop."""
 
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -36,6 +36,8 @@
 STOPPING = event(102, "stopping", "INFO", "A graceful shutdown begins.")
 STOPPED = event(103, "stopped", "INFO", "A process has finished its work and exits.")
 TASK_FAILED = event(104, "task-failed", "ERROR", "A background task ended by an error.")
+RELOADED = event(105, "reloaded", "INFO", "A process has read its settings again.")
+RELOAD_FAILED = event(106, "reload-failed", "ERROR", "Settings read again cannot be used.")
 
 ROUTED = event(200, "routed", "INFO", "An upstream was chosen, with the candidates and why.")
 REFUSED = event(201, "refused", "INFO", "A request was refused, with the reason.")
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -65,6 +65,7 @@
         arrived = clock.now()
         request_id = request.headers.get(names.REQUEST_ID, "")
         with self.entry.working():
+            await self.entry.wait_for_table()
             route = self.entry.match(request.host, request.raw_path.partition("?")[0])
             if isinstance(route, Refusal):
                 return refusal_response(route, request_id)
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -5,13 +5,14 @@
 import asyncio
 import os
 import sys
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
 
 from apricotvale import events
 from apricotvale.daemons.entry_of_fleet import FleetEntry
 from apricotvale.daemons.fleet_control import FleetControl
-from apricotvale.daemons.runtime import HttpServer, run
+from apricotvale.daemons.runtime import HttpServer, on_reload, run
 from apricotvale.exceptions import ApricotvaleError
 from apricotvale.platform import names, wire
 from apricotvale.platform.client import PlatformClient
@@ -34,6 +35,7 @@
             HttpServer(interface.make_app(), settings.requests)
         )
         events.emit(events.STARTED, listen=settings.requests)
+        on_reload(lambda: reload(entry.take_settings))
         await entry.run(stop)
         await server.stop_accepting()
         await entry.finish_requests()
@@ -48,9 +50,22 @@
         control = FleetControl(settings, client, wire.parse_table, names.EVENT_VERSION_FIELD)
         server = HttpServer(ControlInterface(control).make_app(), settings.interface)
         await stack.enter_async_context(server)
+        on_reload(lambda: reload(control.take_settings))
         await control.run(stop)
 
 
+def reload(take_settings: Callable[[FleetSettings], None]) -> None:
+    """Read the settings again; those that cannot be used leave the old ones in force."""
+    try:
+        settings = load_fleet(Path(os.environ[SETTINGS_VARIABLE]))
+    except ApricotvaleError as error:
+        events.emit(events.RELOAD_FAILED, error=error.format_message())
+        return
+    events.emit(events.RELOADED, contacts=settings.contacts)
+    events.configure(settings.name, level=settings.log_level)
+    take_settings(settings)
+
+
 ROLES = {"entry": run_entry, "control": run_control}
 
 
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -138,8 +138,9 @@
 class Replicas:
     """A group of replicas, its clients, and the faults between them."""
 
-    def __init__(self, names=("a", "b", "c"), seed=0, injector=None, formed=True):
+    def __init__(self, names=("a", "b", "c"), seed=0, injector=None, formed=True, policy=None):
         self.now = 0.0
+        self.policy = policy
         self.rng = random.Random(seed)
         self.injector = injector or Injector()
         self.bus = []
@@ -176,6 +177,7 @@
             self.rng.random,
             self.now,
             host.name,
+            self.policy,
         )
         host.results, host.reads, host.inbox = {}, {}, []
 
@@ -229,7 +231,9 @@
     def wake(self, host):
         """Let a replica see the time and what arrived meanwhile."""
         host.node.tick(self.now)
-        if host.storage.stored.empty and host.node.log.last_index == 0:
+        empty = host.storage.stored.empty and host.node.log.last_index == 0
+        alone = host.node.role is not Role.LEADER and self.now > host.node.leader_heard_at + 1.0
+        if empty or (self.policy is not None and alone):
             for peer in self.hosts.values():
                 if peer is not host and peer.node and peer.node.role is Role.LEADER:
                     join = JoinRequest(host.node.data_id, "", host.name, host.name)
--- /dev/null
+++ b/tests/test_fleet_settings.py
@@ -0,0 +1,73 @@
+"""Settings of fleet processes: read, checked, and read again at a signal."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+
+import pytest
+
+from apricotvale.daemons.runtime import on_reload
+from apricotvale.exceptions import SettingsError
+from apricotvale.platform import start
+from apricotvale.settings.fleet import load_fleet
+
+GOOD = """
+name = "edge-1"
+site = "szeged"
+ip = "127.0.0.1"
+contacts = ["127.0.0.2:8166", "127.0.0.3:8166"]
+founds = true
+internal_port = 7720
+requests = "127.0.0.1:8161"
+retention_s = 120
+stop_s = 8.5
+"""
+
+
+@pytest.fixture
+def settings_file(tmp_path, monkeypatch):
+    path = tmp_path / "local.toml"
+    path.write_text(GOOD)
+    monkeypatch.setenv(start.SETTINGS_VARIABLE, str(path))
+    return path
+
+
+def test_settings_are_read(settings_file):
+    settings = load_fleet(settings_file)
+    assert settings.internal_address == "127.0.0.1:7720"
+    assert settings.contact_addresses() == ["127.0.0.2:7720", "127.0.0.3:7720"]
+    assert (settings.retention_s, settings.stop_s) == (120.0, 8.5)
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        (("internal_port = 7720", 'internal_port = "x"'), "internal_port"),
+        (("internal_port = 7720", "internal_port = 0"), "internal_port"),
+        (('site = "szeged"', ""), "site"),
+        (("founds = true", "founds = true\nfound = 1"), "found"),
+    ],
+)
+def test_every_problem_is_named(settings_file, change, key):
+    settings_file.write_text(GOOD.replace(*change))
+    with pytest.raises(SettingsError) as caught:
+        load_fleet(settings_file)
+    assert key in caught.value.format_message()
+
+
+async def test_a_hangup_reads_the_settings_again_and_ends_nothing(settings_file):
+    taken = []
+    on_reload(lambda: start.reload(taken.append))
+    settings_file.write_text(GOOD.replace("127.0.0.3", "127.0.0.4"))
+    os.kill(os.getpid(), signal.SIGHUP)
+    await asyncio.sleep(0.05)
+    assert [settings.contacts[1] for settings in taken] == ["127.0.0.4:8166"]
+
+
+def test_unusable_settings_leave_the_old_ones_in_force(settings_file):
+    taken = []
+    settings_file.write_text("name = 3")
+    start.reload(taken.append)
+    assert taken == []
--- /dev/null
+++ b/tests/test_open_group.py
@@ -0,0 +1,142 @@
+"""A replica group that takes in, replaces and lets go of replicas by itself."""
+
+from __future__ import annotations
+
+import pytest
+
+from apricotvale.consensus.messages import HardState, Snapshot
+from apricotvale.consensus.storage import Storage
+from apricotvale.consensus.types import GroupPolicy
+from apricotvale.control import commands as c
+from tests.replicas import MemoryDisk, Replicas
+
+POLICY = GroupPolicy(open=True, voters=3, learners=1, replace_after_s=1.5)
+
+
+@pytest.fixture(params=range(4))
+def group(request):
+    """Return three voters and an empty spare replica, which has joined as a learner."""
+    group = Replicas(names=("a", "b", "c", "d"), seed=request.param, policy=POLICY)
+    spare = group.hosts["d"]
+    first = group.hosts["a"].storage.stored.snapshot
+    kept = first.group.members[:3]
+    for name in "abc":
+        host = group.hosts[name]
+        founding = Snapshot(1, 1, 0, type(first.group)(kept), b"")
+        host.storage.save_snapshot(founding, HardState(1), [])
+        group.boot(host)
+    spare.disk = MemoryDisk()
+    spare.storage = Storage(spare.disk, "d")
+    group.boot(spare)
+    assert group.run_until(lambda: "d" in members(group, voter=False))
+    return group
+
+
+def members(group, voter):
+    leader = group.leader()
+    if leader is None:
+        return set()
+    return {member.name for member in leader.node.group.members if member.voter is voter}
+
+
+def settled(group, voters, learners=frozenset()):
+    return members(group, True) == set(voters) and members(group, False) == set(learners)
+
+
+def publish(group, version):
+    call = group.call(c.Publish("trainer", "model", version))
+    assert group.run_until(lambda: call.result is not None)
+
+
+def last_published(group):
+    return group.leader().state.rollout.state.targets.get("model")
+
+
+def other_voters(group):
+    leader = group.leader()
+    return [group.hosts[name] for name in sorted(members(group, True)) if name != leader.name]
+
+
+def test_a_spare_takes_the_place_of_a_voter_that_stays_silent(group):
+    publish(group, 1)
+    lost = other_voters(group)[0]
+    group.crash(lost, down_s=1000.0)
+    began = group.now
+    staying = {"a", "b", "c", "d"} - {lost.name}
+    assert group.run_until(lambda: settled(group, staying))
+    assert group.now - began < 4.0
+    publish(group, 2)
+    assert last_published(group) == 2
+
+
+def test_a_lost_leader_is_replaced_too(group):
+    publish(group, 1)
+    lost = group.leader()
+    group.crash(lost, down_s=1000.0)
+    staying = {"a", "b", "c", "d"} - {lost.name}
+    assert group.run_until(lambda: settled(group, staying))
+    assert last_published(group) == 1
+
+
+def test_a_replaced_voter_that_comes_back_is_the_next_spare(group):
+    lost = other_voters(group)[0]
+    group.crash(lost, down_s=6.0)
+    staying = {"a", "b", "c", "d"} - {lost.name}
+    assert group.run_until(lambda: settled(group, staying, {lost.name}))
+
+
+def test_a_short_silence_changes_nothing(group):
+    lost = other_voters(group)[0]
+    group.crash(lost, down_s=0.8)
+    group.run(4.0)
+    assert settled(group, {"a", "b", "c"}, {"d"})
+
+
+def test_a_wiped_voter_never_votes_as_its_predecessor(group):
+    publish(group, 1)
+    wiped = other_voters(group)[0]
+    old_id = wiped.storage.meta.data_id
+    group.wipe(wiped)
+    assert group.run_until(lambda: is_whole(group) and old_id not in data_ids(group))
+    assert wiped.storage.meta.data_id in data_ids(group)
+
+
+def data_ids(group):
+    return {member.data_id for member in group.leader().node.group.members}
+
+
+def is_whole(group):
+    return len(members(group, True)) == 3 and len(members(group, False)) == 1
+
+
+def test_disks_lost_one_after_the_other_lose_nothing(group):
+    for version in range(1, 5):
+        publish(group, version)
+        wiped = group.hosts["abcd"[version - 1]]
+        group.wipe(wiped)
+        group.run(5.0)
+        assert last_published(group) == version
+        assert len(members(group, True)) == 3
+
+
+@pytest.mark.parametrize("leads", [True, False])
+def test_a_retiring_voter_leaves_and_does_not_come_back(group, leads):
+    leaving = group.leader() if leads else other_voters(group)[0]
+    for host in group.hosts.values():
+        host.node.retiring = frozenset({leaving.name})
+
+    def left():
+        leader = group.leader()
+        if leader is leaving:
+            leader.node.transfer(group.now)
+        return settled(group, {"a", "b", "c", "d"} - {leaving.name})
+
+    assert group.run_until(left)
+    group.run(3.0)
+    assert left()
+
+
+def test_a_closed_group_takes_in_nobody():
+    group = Replicas(names=("a", "b", "c"))
+    assert group.run_until(lambda: group.leader() is not None)
+    assert not group.leader().node.takes_in("d")
