Share engines among models, run long items first, move runs off slow engines

Ruled out: larger limits or fewer log entries (the table is 80 KB at most there); loading at once on all engines (the weight store slows). Change: weights.assignment, jobs.order, jobs.placement.is_worth_moving; loads wait until an engine runs no item of the model; peers' connections are aborted, their stale queue dropped; one rewind a follower for what was sent before it.

--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -37,8 +37,8 @@
 ELECTION_SPREAD = 0.5
 RETRY_LEAST = 0.1
 RETRY_SPREAD = 0.4
-# A replica that starts waits for a heartbeat or two of a living leader, not a whole timeout: after a
-# loss of all replicas nobody leads, and callers wait.
+# A replica that starts waits for a heartbeat or two of a living leader, not a whole timeout: after
+# a loss of all replicas nobody leads, and callers wait.
 START_LEAST = 0.3
 START_SPREAD = 0.4
 
@@ -395,7 +395,11 @@
             peer.next_index = max(peer.next_index, peer.match_index + 1)
             peer.install_until = 0.0 if reply.index >= self.log.snapshot.index else now
             self.advance_commit()
-        elif now >= peer.install_until:
+        elif now >= peer.install_until and reply.sequence > peer.rewound_at:
+            # Later failures of what was sent before the rewind say nothing new, and answering
+            # each would send the same entries again and again.
+            peer.rewound_at = self.sequence
+            self.sequence += 1
             peer.next_index = max(peer.match_index, min(reply.index, peer.next_index - 1)) + 1
             if peer.next_index <= self.log.last_index:
                 self.send_append(reply.source, peer, now)
--- a/src/apricotvale/consensus/types.py
+++ b/src/apricotvale/consensus/types.py
@@ -56,6 +56,7 @@
     next_index: int
     match_index: int = 0
     acked_sequence: int = 0
+    rewound_at: int = 0
     heard_at: float = 0.0
     install_until: float = 0.0
 
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 from attrs import define
 
@@ -17,17 +16,21 @@
 from apricotvale.fleet import commands as c
 from apricotvale.fleet.state import FleetState
 from apricotvale.jobs import Item, ItemState, Job, Result, RewardCall
-from apricotvale.jobs.placement import Place, choose_engine
+from apricotvale.jobs.order import in_running_order
+from apricotvale.jobs.placement import Place, choose_engine, is_worth_moving
 from apricotvale.jobs.transcript import Transcript
 from apricotvale.outcomes import Refusal
-from apricotvale.requests.calls import Answer, Call, RunRequest, UpstreamClient
+from apricotvale.requests.calls import Answer, Call, RunRequest, RunStream, UpstreamClient
 from apricotvale.routes import Route, RouteTable
-from apricotvale.weights.orders import EngineLoads
+from apricotvale.weights.orders import EngineLoads, is_loading
 
 # A run without an event for so long goes on elsewhere: a load of weights, which pauses a run that
 # continues over it, takes about 1 s.
 STALL_S = 2.5
 RETRY_S = 0.2
+# A run shorter than this is not worth moving.
+MOVE_AFTER_S = 0.3
+MOVES_AT_ONCE = 2
 REWARD_TIMEOUT_S = 3.0
 # Share of a service's places that reward calls may fill: the rest is for callers who wait.
 REWARD_SHARE = 0.5
@@ -44,6 +47,9 @@
     transcript: Transcript
     server_errors: int = 0
     reward_errors: int = 0
+    engine: Upstream | None = None
+    began: float = 0.0
+    moving: bool = False
     task: asyncio.Task[None] | None = None
 
 
@@ -91,7 +97,9 @@
             del self.waiting[key]
         for record in records:
             self.seen_at.setdefault(record.job.job_id, now)
-            self.start_items(record.job, self.state.jobs.unlisted(record), now)
+            items = in_running_order(record.job, self.state.jobs.unlisted(record))
+            self.start_items(record.job, items, now)
+        self.move_runs(now)
 
     def start_items(self, job: Job, items: list[Item], now: float) -> None:
         """Start as many items of a job as find a place, in their order."""
@@ -106,24 +114,45 @@
             if engine is None:
                 return
             run = self.waiting.pop(key, None) or self.new_run(job, item)
+            run.engine, run.began, run.moving = engine, now, False
             self.runs[key] = run
             place = self.places.setdefault(engine.incarnation, Place())
-            place.in_flight += 1
+            place.begin(job.model)
             run.task = self.tasks.start(self.run_item(route, run, engine, place))
 
+    def move_runs(self, now: float) -> None:
+        """Let runs on slow engines go on at much faster ones that have free places."""
+        if self.table is None:
+            return
+        moved: Counter[str] = Counter()
+        for run in self.runs.values():
+            if run.engine is None or run.moving or now < run.began + MOVE_AFTER_S:
+                continue
+            route = self.table.match(run.job.host, run.job.path)
+            other = self.find_engine(route, run.job, now) if route else None
+            if other is None or not is_worth_moving(run.engine, other, self.places):
+                continue
+            if moved[other.incarnation] < MOVES_AT_ONCE:
+                moved[other.incarnation] += 1
+                run.moving = True
+
     def new_run(self, job: Job, item: Item) -> ItemRun:
         """Return the record of an item that was not begun."""
         return ItemRun(job, item, Transcript(self.version_field))
 
-    def place(self, route: Route, job: Job, item: Item, now: float) -> Upstream | None:
-        """Return the engine for an item."""
+    def find_engine(self, route: Route, job: Job, now: float) -> Upstream | None:
+        """Return the engine on which an item of a job should run."""
         services = {backend.service for backend in route.backends if backend.weight > 0}
         engines = [
             upstream
             for upstream in self.state.registry.state.upstreams.values()
             if upstream.service in services
         ]
-        engine = choose_engine(engines, self.places, self.loads, job.model, job.min_version, now)
+        return choose_engine(engines, self.places, self.loads, job.model, job.min_version, now)
+
+    def place(self, route: Route, job: Job, item: Item, now: float) -> Upstream | None:
+        """Return the engine for an item, and log the choice."""
+        engine = self.find_engine(route, job, now)
         if engine is not None:
             place = self.places.get(engine.incarnation) or Place()
             events.emit(
@@ -132,7 +161,8 @@
                 item=item.item_id,
                 upstream=engine.incarnation,
                 in_flight=place.in_flight,
-                candidates=len(engines),
+                pace_ms=round(place.pace.seconds_a_token * 1000, 1),
+                expected_tokens=item.expected_tokens,
                 registry=self.state.registry.state.position,
             )
         return engine
@@ -146,7 +176,8 @@
             try:
                 state = await self.generate(route, run, engine, place)
             finally:
-                place.in_flight -= 1
+                place.end(run.job.model)
+                run.engine = None
             if state is ItemState.COMPLETED and run.item.reward is not None:
                 score = await self.score(run, run.item.reward)
                 state = ItemState.COMPLETED if score else ItemState.FAILED
@@ -163,7 +194,6 @@
         self, route: Route, run: ItemRun, engine: Upstream, place: Place
     ) -> ItemState | None:
         """Run the text to its end on an engine; None if it has to go on elsewhere."""
-        began, before = clock.now(), len(run.transcript.data)
         request = RunRequest(
             run.item.path,
             run.job.host,
@@ -186,12 +216,19 @@
                     self.note_version(engine, run.job.model, stream.version)
                     if route.single_version and run.transcript.versions != [stream.version]:
                         run.transcript.restart()
-                    await self.read_stream(run, stream)
+                    whole = await self.read_stream(run, stream, place, engine)
                     place.succeed()
-                    made = len(run.transcript.data) - before
-                    if made > 0:
-                        place.pace.add(clock.now() - began, made)
-                    return ItemState.COMPLETED
+                    if whole:
+                        return ItemState.COMPLETED
+                    events.emit(
+                        events.ITEM_MOVED,
+                        job=run.job.job_id,
+                        item=run.item.item_id,
+                        upstream=engine.incarnation,
+                        pace_ms=round(place.pace.seconds_a_token * 1000, 1),
+                        last_event=run.transcript.last_event_id,
+                    )
+                    return None
         except (StreamCutError, TimeoutError, ValueError) as error:
             why = repr(error)
         place.fail(clock.now())
@@ -205,17 +242,29 @@
         )
         return None
 
-    async def read_stream(self, run: ItemRun, stream: Any) -> None:
-        """Take the events of a run up to its end."""
+    async def read_stream(
+        self, run: ItemRun, stream: RunStream, place: Place, engine: Upstream
+    ) -> bool:
+        """Take the events of a run; return whether it came to its end, and was not moved."""
         run.transcript.begin_run(stream.version)
         chunks = stream.chunks()
-        while True:
+        last: float | None = None
+        while not run.moving:
             async with asyncio.timeout(STALL_S):
                 chunk = await anext(chunks, None)
             if chunk is None:
-                break
-            run.transcript.feed(chunk)
-        run.transcript.check_end()
+                run.transcript.check_end()
+                return True
+            made = run.transcript.feed(chunk)
+            now = clock.now()
+            if (
+                made
+                and last is not None
+                and not is_loading(self.loads.get(engine.incarnation), now)
+            ):
+                place.pace.add(now - last, made)
+            last = now if made else last
+        return False
 
     def failed_answer(
         self, route: Route, run: ItemRun, engine: Upstream, place: Place, answer: Answer
--- a/src/apricotvale/daemons/load_tender.py
+++ b/src/apricotvale/daemons/load_tender.py
@@ -12,6 +12,7 @@
 from apricotvale.outcomes import Refusal
 from apricotvale.requests.calls import UpstreamClient
 from apricotvale.routes import RouteTable
+from apricotvale.weights.assignment import assign_engines
 from apricotvale.weights.orders import (
     EngineLoads,
     LoadMode,
@@ -54,6 +55,7 @@
         self.may_order = may_order
         self.token = token
         self.targets: dict[str, Target] = {}
+        self.assigned: dict[str, set[str]] = {}
         self.ordering: set[str] = set()
         self.fenced_off: set[str] = set()
         self.table: RouteTable | None = None
@@ -72,9 +74,14 @@
             for upstream in self.state.registry.state.upstreams.values()
             if upstream.models and upstream.incarnation not in self.fenced_off
         ]
-        in_flight = {name: place.in_flight for name, place in self.runner.places.items()}
+        in_flight = {
+            (incarnation, model): runs
+            for incarnation, place in self.runner.places.items()
+            for model, runs in place.by_model.items()
+        }
+        self.assigned = assign_engines(engines, self.demand(), self.runner.loads, self.assigned)
         planned = plan_loads(
-            list(self.targets.values()), engines, self.runner.loads, in_flight, now
+            list(self.targets.values()), engines, self.runner.loads, in_flight, now, self.assigned
         )
         for load in planned:
             incarnation = load.upstream.incarnation
@@ -82,6 +89,13 @@
                 self.ordering.add(incarnation)
                 self.tasks.start(self.order(load))
 
+    def demand(self) -> dict[str, float]:
+        """Return the work of each model's latest job, in tokens."""
+        latest = dict.fromkeys(self.state.targets, 0.0)
+        for record in self.state.jobs.state.records.values():
+            latest[record.job.model] = float(sum(item.tokens for item in record.job.items))
+        return latest
+
     async def order(self, load: PlannedLoad) -> None:
         """Order one load, on the condition that no other order comes before it."""
         upstream = load.upstream
@@ -154,4 +168,5 @@
     def stop(self) -> None:
         """Forget everything known from leading."""
         self.targets.clear()
+        self.assigned.clear()
         self.fenced_off.clear()
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -77,7 +77,10 @@
     """Sends messages to one peer in batches, dropping the oldest when it does not keep up."""
 
     def __init__(self, address: str, interface: Interface) -> None:
+        self.address = address
+        self.interface = interface
         self.client = RpcClient(address, interface)
+        self.reachable = True
         self.queue: deque[PeerMessage] = deque(maxlen=PEER_QUEUE)
         self.wake = asyncio.Event()
 
@@ -95,12 +98,23 @@
             self.queue.clear()
             try:
                 await self.client.send_peer(batch, PEER_TIMEOUT_S)
+                self.note(True, "")
             except Exception as error:
-                # A connection can go silent without a reset: only a new one shows.
-                events.emit(events.PEER_SILENT, address=self.client.address, error=repr(error))
+                # A connection can go silent without a reset: only a new one shows. What gathered
+                # meanwhile is out of date.
+                self.note(False, repr(error))
+                self.queue.clear()
                 self.client.close()
+                self.client = RpcClient(self.address, self.interface)
                 await asyncio.sleep(PEER_PAUSE_S)
 
+    def note(self, reachable: bool, error: str) -> None:
+        """Log when the peer is lost or found again."""
+        if reachable != self.reachable:
+            self.reachable = reachable
+            kind = events.PEER_FOUND if reachable else events.PEER_LOST
+            events.emit(kind, address=self.address, error=error)
+
 
 class StateMachine(Protocol):
     """What committed entries change."""
@@ -480,7 +494,7 @@
         try:
             reply = await self.link(address).client.call(request, PEER_TIMEOUT_S)
         except (OSError, TimeoutError, GRPCError, ProtocolError, StreamTerminatedError) as error:
-            events.emit(events.PEER_SILENT, address=address, error=repr(error))
+            self.link(address).note(False, repr(error))
             return None
         return attrs.evolve(reply, address=address) if isinstance(reply, ProbeReply) else None
 
--- a/src/apricotvale/daemons/rpc.py
+++ b/src/apricotvale/daemons/rpc.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 from typing import Any
@@ -13,6 +14,7 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import StreamTerminatedError
+from grpclib.protocol import H2Protocol
 from grpclib.server import Server, Stream
 
 from apricotvale.codec import decode, encode
@@ -20,6 +22,8 @@
 
 PEER_PATH = "/apricotvale.Control/Peer"
 WINDOW_BYTES = 4 * 1024 * 1024
+# A connection whose data is not acknowledged for so long is dead, though nothing was reset.
+USER_TIMEOUT_MS = 1_500
 
 
 @frozen
@@ -110,13 +114,43 @@
         task.cancel()
 
 
+class DirectChannel(Channel):
+    """A grpclib channel whose connection notices a silent peer and can be dropped at once."""
+
+    transport: asyncio.Transport | None = None
+
+    async def _create_connection(self) -> H2Protocol:
+        made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        made.setblocking(False)
+        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        try:
+            await self._loop.sock_connect(made, (self._host, self._port))
+            transport, protocol = await self._loop.create_connection(
+                self._protocol_factory, sock=made
+            )
+        except BaseException:
+            made.close()
+            raise
+        self.transport = transport
+        return protocol
+
+    def abort(self) -> None:
+        """Drop the connection with what it has not sent; closing would wait for a silent peer."""
+        if self.transport is not None:
+            self.transport.abort()
+            self.transport = None
+        self.close()
+
+
 class RpcClient:
     """A connection to one control replica."""
 
     def __init__(self, address: str, interface: Interface = CONTROL) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
-        self.channel = Channel(host, int(port), codec=MessageCodec(), config=window_configuration())
+        self.channel = DirectChannel(
+            host, int(port), codec=MessageCodec(), config=window_configuration()
+        )
         self.call_method: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
             self.channel, interface.path, interface.request, interface.reply
         )
@@ -134,4 +168,4 @@
 
     def close(self) -> None:
         """Close the connection."""
-        self.channel.close()
+        self.channel.abort()
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -71,6 +71,7 @@
 ITEM_CUT = event(413, "item-cut", "INFO", "A run of an item ended early; it goes on elsewhere.")
 ITEM_LISTED = event(414, "item-listed", "INFO", "An item's result has its position.")
 REWARD_FAILED = event(415, "reward-failed", "INFO", "A reward call was not answered well.")
+ITEM_MOVED = event(418, "item-moved", "INFO", "A run goes on at a much faster engine.")
 RUNNER_STARTED = event(416, "runner-started", "INFO", "A leader starts to run open jobs.")
 RUNNER_STOPPED = event(417, "runner-stopped", "INFO", "A former leader stopped all its runs.")
 
@@ -80,7 +81,8 @@
 SNAPSHOT_SAVED = event(503, "snapshot-saved", "DEBUG", "The state was saved and the log cut.")
 SNAPSHOT_INSTALLED = event(504, "snapshot-installed", "INFO", "A leader's snapshot was taken.")
 DISK_FAILED = event(505, "disk-failed", "ERROR", "A write failed; the replica stops voting.")
-PEER_SILENT = event(507, "peer-silent", "DEBUG", "A control replica did not answer a peer.")
+PEER_LOST = event(507, "peer-lost", "WARNING", "A control replica does not answer a peer.")
+PEER_FOUND = event(508, "peer-found", "INFO", "A control replica answers a peer again.")
 GROUP_CHANGED = event(506, "group-changed", "INFO", "The group of control replicas changed.")
 
 MEMBER_JOINED = event(600, "member-joined", "INFO", "A process announced itself.")
--- a/src/apricotvale/jobs/types.py
+++ b/src/apricotvale/jobs/types.py
@@ -29,6 +29,7 @@
     """One request of a job.
 
     :param tokens: tokens of the prompt and the most that may be generated.
+    :param expected_tokens: the caller's estimate of what will be generated, 0 if there is none.
     :param group: items of one group share their prompt, and count for the trainer together.
     """
 
@@ -37,6 +38,7 @@
     headers: dict[str, str]
     body: bytes
     tokens: int = 0
+    expected_tokens: int = 0
     group: str = ""
     reward: RewardCall | None = None
 
--- a/src/apricotvale/platform/names.py
+++ b/src/apricotvale/platform/names.py
@@ -14,6 +14,8 @@
 # Despite the plural, one number: the version under which the run began.
 WEIGHT_VERSIONS = "Weight-Versions"
 EVENT_VERSION_FIELD = "weight-versions"
+# The caller's estimate of output tokens, right at the median and often far off.
+LENGTH_HINT = "Length-Hint"
 
 HOP_BY_HOP = frozenset(
     {
--- a/src/apricotvale/platform/wire.py
+++ b/src/apricotvale/platform/wire.py
@@ -11,6 +11,7 @@
 from apricotvale.exceptions import BadInputError, bad_input
 from apricotvale.fleet import calls
 from apricotvale.jobs import Item, ItemState, Job, Result, RewardCall
+from apricotvale.platform import names
 from apricotvale.routes import (
     Backend,
     Engine,
@@ -231,11 +232,17 @@
         headers,
         decode_base64(typed(entry, "body", str, "")),
         typed(entry, "tokens", int, 0),
+        parse_estimate(headers.get(names.LENGTH_HINT, "")),
         typed(entry, "group", str, ""),
         parse_scorer(scorer) if scorer is not None else None,
     )
 
 
+def parse_estimate(text: str) -> int:
+    """Return the estimated length of an item's output, 0 if there is none."""
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 def parse_scorer(entry: dict[str, Any]) -> RewardCall:
     """Return the reward call of an item."""
     return RewardCall(
--- a/src/apricotvale/weights/orders.py
+++ b/src/apricotvale/weights/orders.py
@@ -16,9 +16,9 @@
 # Loads that the weight store carries at the same time without slowing, as a share of the engines:
 # the users' sheets give 2 of 5, 8 of 20 and 9 of 22.
 CONCURRENT_SHARE = 0.4
-# How long a version waits for an engine to become idle. A trainer's step comes about every 4 s,
-# and the one after next needs the version.
-IDLE_WAIT_S = 1.5
+# How long a version waits for an engine that runs items of its model. Between two steps a trainer
+# trains, so its engines become idle; only work without steps has none of these gaps.
+IDLE_WAIT_S = 6.0
 
 
 class LoadMode(StrEnum):
@@ -104,14 +104,16 @@
     targets: list[Target],
     engines: list[Upstream],
     loads: dict[str, EngineLoads],
-    in_flight: dict[str, int],
+    in_flight: dict[tuple[str, str], int],
     now: float,
+    assigned: dict[str, set[str]] | None = None,
 ) -> list[PlannedLoad]:
     """Return the loads to order now.
 
     :param engines: engines that take orders.
     :param loads: loads by the engine's incarnation.
-    :param in_flight: runs by the engine's incarnation.
+    :param in_flight: runs by the engine's incarnation and the model.
+    :param assigned: incarnations that keep up with a model; a model without any uses all.
     """
     usable = [engine for engine in engines if engine.standing is Standing.READY]
     limit = max(1, math.floor(len(usable) * CONCURRENT_SHARE))
@@ -122,13 +124,15 @@
             engine
             for engine in usable
             if target.model in engine.models
+            and (not assigned or engine.incarnation in assigned.get(target.model, set()))
             and held_version(engine, loads.get(engine.incarnation), target.model) < target.version
             and may_order(loads.get(engine.incarnation), now)
             and engine.incarnation not in loading
         ]
-        waiting.sort(key=lambda engine: in_flight.get(engine.incarnation, 0))
+        runs = {e.incarnation: in_flight.get((e.incarnation, target.model), 0) for e in waiting}
+        waiting.sort(key=lambda engine: runs[engine.incarnation])
         for engine in waiting:
-            idle = not in_flight.get(engine.incarnation, 0)
+            idle = not runs[engine.incarnation]
             if len(loading) >= limit or not (idle or now >= target.since + IDLE_WAIT_S):
                 break
             loading.add(engine.incarnation)
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 import pytest
+from grpclib.exceptions import StreamTerminatedError
 
+from apricotvale.consensus.messages import JoinRequest
 from apricotvale.control import calls
+from apricotvale.control.calls import PeerBatch
 from apricotvale.daemons.link import ControlClient
 from apricotvale.daemons.rpc import ControlService, RpcClient, make_server
 from apricotvale.outcomes import Ran, Reason
@@ -55,3 +59,18 @@
     assert (refusal.reason, refusal.ran) == (Reason.NO_QUORUM, Ran.NOT_RUN)
     assert time.monotonic() < started + 1.0
     client.close()
+
+
+async def test_closing_does_not_wait_for_a_peer_that_reads_nothing():
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    client = RpcClient(f"127.0.0.1:{listener.getsockname()[1]}")
+    batch = PeerBatch([JoinRequest("x" * 8_000_000, "", "a", "b")])
+    with pytest.raises((TimeoutError, StreamTerminatedError)):
+        await client.send_peer(batch, 0.2)
+    transport = client.channel.transport
+    client.close()
+    await asyncio.sleep(0.05)
+    assert transport.is_closing() and transport.get_write_buffer_size() == 0
+    listener.close()
