--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -7,8 +7,10 @@
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from functools import partial
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from apricotvale import clock
@@ -43,6 +45,25 @@
     return made
 
 
+class RecordingHandler(ResponseHandler):
+    """A connection that remembers whether it was reset.
+
+    An answer without a length ends with its connection; the library takes a reset for that end.
+    """
+
+    was_reset = False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note how the connection ended."""
+        self.was_reset = exc is not None
+        super().connection_lost(exc)
+
+
+def make_handler(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
+    """Return the protocol of a new connection."""
+    return RecordingHandler(loop)
+
+
 class PlatformClient:
     """Connections to upstreams, kept open and reused."""
 
@@ -51,6 +72,7 @@
 
     async def __aenter__(self) -> PlatformClient:
         connector = aiohttp.TCPConnector(limit=0, socket_factory=make_socket)
+        connector._factory = partial(make_handler, asyncio.get_running_loop())
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S)
         self.session = aiohttp.ClientSession(
             connector=connector,
@@ -212,7 +234,11 @@
     if not is_for(response, request_id):
         response.close()
         return unknown(Reason.UPSTREAM_GARBLED, "the answer is for another request")
+    connection = response.connection
+    protocol = connection.protocol if connection else None
     body = await response.read()
+    if isinstance(protocol, RecordingHandler) and protocol.was_reset:
+        return unknown(Reason.UPSTREAM_LOST, "the connection was reset within the answer")
     signature = response.headers.get(names.SERVER_STAMP, "")
     succeeded = 200 <= response.status < 300
     if succeeded and (not signature or "Content-Encoding" in response.headers):
--- a/src/apricotvale/weights/assignment.py
+++ b/src/apricotvale/weights/assignment.py
@@ -12,19 +12,15 @@
 
 
 def share_out(count: int, demand: dict[str, float]) -> dict[str, int]:
-    """Return how many engines each model gets: one at least, the others by demand.
+    """Return how many engines each model gets: one at least, then where an engine has most work.
 
     :param count: engines, at least as many as models.
     :param demand: work by model.
     """
-    total = sum(demand.values()) or 1.0
-    spare = count - len(demand)
-    exact = {model: spare * work / total for model, work in demand.items()}
-    shares = {model: 1 + int(part) for model, part in exact.items()}
-    left = count - sum(shares.values())
-    by_rest = sorted(exact, key=lambda model: (int(exact[model]) - exact[model], model))
-    for model in by_rest[:left]:
-        shares[model] += 1
+    shares = dict.fromkeys(demand, 1)
+    for _ in range(count - len(demand)):
+        busiest = max(demand, key=lambda model: (demand[model] / shares[model], model))
+        shares[busiest] += 1
     return shares
 
 
--- /dev/null
+++ b/tests/platform_site.py
@@ -0,0 +1,235 @@
+"""A whole deployment in one process: control replicas, an entry and stand-in upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import socket
+from contextlib import AsyncExitStack
+
+import aiohttp
+from attrs import define, field
+
+from apricotvale.daemons.entry_of_fleet import FleetEntry
+from apricotvale.daemons.fleet_control import FleetControl
+from apricotvale.daemons.runtime import HttpServer
+from apricotvale.platform import names, wire
+from apricotvale.platform.client import PlatformClient
+from apricotvale.platform.interface import ControlInterface
+from apricotvale.platform.requests import RequestInterface
+from apricotvale.settings.fleet import FleetSettings
+from tests.platform_standin import StandIn
+
+HOST = "desk.example"
+SETTLE_S = 10.0
+
+
+def free_port(host):
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+def table(version, **changes):
+    document = {
+        "version": version,
+        "routes": [
+            {
+                "name": "fees",
+                "hostname": HOST,
+                "path_prefix": "/fees/",
+                "type": "safe",
+                "timeout_ms": 1500,
+                "target_latency_ms": 200,
+                "service": "desk",
+                "max_attempts": 4,
+            },
+            {
+                "name": "drafts",
+                "hostname": HOST,
+                "path_prefix": "/drafts/",
+                "type": "rollout",
+                "timeout_ms": 10000,
+                "service": "lm",
+                "max_attempts": 3,
+                "keep_s": 40,
+            },
+        ],
+        "services": [
+            {"name": "desk", "health_path": "/healthz"},
+            {"name": "lm", "engine": {"models": [{"name": "m"}]}},
+        ],
+        "limits": {"max_body_bytes": 1_000_000},
+    }
+    return {**document, **changes}
+
+
+def item(name, group="g1", scored=True):
+    document = {
+        "id": name,
+        "path": f"/drafts/{name}",
+        "headers": {"Model": "m"},
+        "body": base64.b64encode(b"prompt").decode(),
+        "tokens": 100,
+        "group": group,
+    }
+    if scored:
+        body = base64.b64encode(b"text").decode()
+        scorer = {"id": f"s-{name}", "hostname": HOST, "path": f"/fees/{name}", "body": body}
+        document["scorer"] = scorer
+    return document
+
+
+def job(*items, step=0, min_version=1):
+    return {"items": items, "step": step, "model": "m", "min_version": min_version}
+
+
+@define
+class Site:
+    """The processes' objects, and calls as the platform makes them."""
+
+    folder: object
+    stack: AsyncExitStack = field(factory=AsyncExitStack)
+    controls: list = field(factory=list)
+    interfaces: list = field(factory=list)
+    tasks: list = field(factory=list)
+    desks: list = field(factory=list)
+    engines: list = field(factory=list)
+    beats: dict = field(factory=dict)
+    entry: FleetEntry | None = None
+    url: str = ""
+    readiness: str = ""
+    session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self):
+        await self.stack.__aenter__()
+        self.session = await self.stack.enter_async_context(aiohttp.ClientSession())
+        hosts = ["127.0.0.2", "127.0.0.3", "127.0.0.4"]
+        port = free_port("0.0.0.0")
+        contacts = [f"{host}:1" for host in hosts]
+        for number, host in enumerate(hosts):
+            await self.start_control(f"storage-{number}", host, port, contacts)
+        await self.start_entry(port, contacts)
+        for number in range(2):
+            self.desks.append(await self.standin(f"d-{number}", "desk"))
+            self.engines.append(await self.standin(f"e-{number}", "lm", {"m": 1}))
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.stack.__aexit__(*exc_info)
+
+    async def start_control(self, name, host, port, contacts):
+        settings = FleetSettings(
+            name=name,
+            site="a",
+            ip=host,
+            contacts=contacts,
+            founds=True,
+            internal_port=port,
+            interface=f"{host}:{free_port(host)}",
+            data_folder=str(self.folder / name),
+            lease_ms=300,
+            heartbeat_ms=500,
+        )
+        client = await self.stack.enter_async_context(PlatformClient())
+        control = FleetControl(settings, client, wire.parse_table, names.EVENT_VERSION_FIELD)
+        app = ControlInterface(control).make_app()
+        await self.stack.enter_async_context(HttpServer(app, settings.interface))
+        self.controls.append(control)
+        self.interfaces.append(f"http://{settings.interface}")
+        self.tasks.append(asyncio.create_task(control.run(asyncio.Event())))
+
+    async def start_entry(self, port, contacts):
+        address = f"127.0.0.1:{free_port('127.0.0.1')}"
+        ready = f"127.0.0.1:{free_port('127.0.0.1')}"
+        settings = FleetSettings(
+            name="edge-1", site="a", ip="127.0.0.1", contacts=contacts, internal_port=port
+        )
+        client = await self.stack.enter_async_context(PlatformClient())
+        self.entry = FleetEntry(settings, client, wire.parse_table)
+        interface = RequestInterface(self.entry)
+        await self.stack.enter_async_context(HttpServer(interface.make_app(), address))
+        await self.stack.enter_async_context(HttpServer(interface.make_readiness_app(), ready))
+        self.url, self.readiness = f"http://{address}", f"http://{ready}{names.READY_PATH}"
+        self.tasks.append(asyncio.create_task(self.entry.run(asyncio.Event())))
+
+    async def standin(self, name, service, models=None):
+        behaviour = "stream" if service == "lm" else "good"
+        standin = StandIn(name, service, behaviour, models=models or {})
+        return await self.stack.enter_async_context(standin)
+
+    # -- calls of operators, trainers and upstreams
+
+    async def control_call(self, method, path, document=None, body=None, at=0):
+        data = body if body is not None else json.dumps(document).encode()
+        url = self.interfaces[at] + path
+        async with self.session.request(method, url, data=data) as response:
+            return response.status, await response.read()
+
+    async def until(self, call, wanted, timeout_s=SETTLE_S):
+        """Repeat a call until it returns what is wanted; return whether it did."""
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        while True:
+            result = await call()
+            if wanted(result):
+                return result
+            assert asyncio.get_running_loop().time() < deadline, result
+            await asyncio.sleep(0.05)
+
+    async def put_table(self, document, at=0):
+        return (await self.control_call("PUT", names.CONFIG_PATH, document, at=at))[0]
+
+    async def beat(self, standin, state="ready", at=0):
+        sequence = self.beats[standin.upstream_id] = self.beats.get(standin.upstream_id, 0) + 1
+        path = f"/api/replicas/{standin.upstream_id}"
+        document = standin.heartbeat(sequence, state)
+        return (await self.control_call("PUT", path, document, at=at))[0]
+
+    async def beat_all(self):
+        for standin in [*self.desks, *self.engines]:
+            assert await self.beat(standin) == 200
+
+    async def settle(self, version=1):
+        """Put the first table, announce all upstreams, and wait until the entry knows them."""
+        await self.until(lambda: self.put_table(table(version)), lambda status: status == 200)
+        await self.beat_all()
+
+        async def known():
+            return len(self.entry.link.view.upstreams), self.entry.link.table is not None
+
+        await self.until(known, lambda found: found == (4, True))
+
+    # -- calls of callers
+
+    async def request(self, path, request_id="r-1", method="POST", host=HOST, **headers):
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        fields = {"Host": host, names.REQUEST_ID: request_id, names.DEADLINE_MS: "1500", **named}
+        async with self.session.request(
+            method, self.url + path, headers=fields, data=b"x"
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    async def submit(self, job_id, document):
+        fields = {"Host": HOST, names.REQUEST_ID: job_id}
+        body = document if isinstance(document, bytes) else json.dumps(document).encode()
+        async with self.session.post(
+            self.url + "/drafts/jobs", headers=fields, data=body
+        ) as response:
+            return response.status
+
+    async def results(self, job_id, after=0, wait_ms=0):
+        fields = {"Host": HOST, names.WAIT_MS: str(wait_ms)}
+        url = f"{self.url}/api/lots/{job_id}?after={after}"
+        async with self.session.get(url, headers=fields) as response:
+            return response.status, await response.json() if response.status == 200 else None
+
+    async def all_results(self, job_id, count):
+        async def read():
+            return await self.results(job_id, wait_ms=300)
+
+        _, document = await self.until(read, lambda r: r[0] == 200 and r[1]["next"] >= count)
+        return {result["id"]: result for result in document["results"]}
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,194 @@
+"""A stand-in of the platform's upstreams: plain services and engines that misbehave on request.
+
+One listening socket is one upstream. It writes its answers byte by byte as a test wants them, which
+no well-behaved server library would do.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+
+from attrs import define, field
+
+
+def reset(writer):
+    """Reset a connection instead of closing it."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+@define
+class Seen:
+    """A request as it arrived."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@define
+class StandIn:
+    """One upstream.
+
+    :param behaviour: name of what it does with the next requests, see `answer`.
+    """
+
+    upstream_id: str
+    service: str
+    behaviour: str = "good"
+    events: int = 5
+    event_s: float = 0.01
+    models: dict[str, int] = field(factory=dict)
+    seen: list[Seen] = field(factory=list)
+    orders: int = 0
+    fence: int = 0
+    cut: int = 0
+    server: asyncio.Server | None = None
+    writers: set = field(factory=set)
+    readers: list = field(factory=list)
+
+    @property
+    def address(self):
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+
+    def heartbeat(self, sequence, state="ready"):
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "a",
+            "version": "v1",
+            "capacity": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "models": [{"name": n, "version": v} for n, v in self.models.items()],
+            "sequence": sequence,
+            "born": 1,
+        }
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        self.readers.append(reader)
+        try:
+            while await self.serve_one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            self.cut += 1
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def serve_one(self, reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        first, *lines = head.rstrip().split("\r\n")
+        method, target, _ = first.split(" ")
+        headers = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in lines)}
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        self.seen.append(Seen(method, target, headers, body))
+        if target == "/api/report":
+            return await self.send_json(writer, 200, self.report())
+        if target == "/api/order":
+            return await self.take_order(writer, json.loads(body))
+        if headers.get("expect-instance") not in (None, self.upstream_id):
+            return await self.send(writer, 421, [("Replica-Id", self.upstream_id)], b"")
+        return await self.answer(writer, headers)
+
+    def report(self):
+        models = [{"name": n, "version": v, "adapters": []} for n, v in self.models.items()]
+        return {"stage": "both", "models": models, "busy": False, "sequence": self.orders}
+
+    async def take_order(self, writer, order):
+        if order["fencing_token"] < self.fence:
+            return await self.send(writer, 412, [], b"")
+        if order["precondition"] != self.orders:
+            return await self.send(writer, 409, [], b"")
+        self.fence = order["fencing_token"]
+        self.orders += 1
+        self.models[order["model"]] = order["version"]
+        return await self.send(writer, 202, [], b"")
+
+    async def send_json(self, writer, status, document):
+        return await self.send(writer, status, [], json.dumps(document).encode())
+
+    async def send(self, writer, status, headers, body, length=None):
+        lines = [f"HTTP/1.1 {status} Word"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if length != "none":
+            lines.append(f"Content-Length: {len(body) if length is None else length}")
+        writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+        await writer.drain()
+        return True
+
+    async def answer(self, writer, headers):
+        request_id = headers.get("request-id", "")
+        good = [("Request-Id", request_id), ("Server-Stamp", f"stamp-{request_id}")]
+        body = f"body of {request_id}".encode()
+        match self.behaviour:
+            case "good":
+                return await self.send(writer, 200, good, body)
+            case "slow":
+                await asyncio.sleep(0.5)
+                return await self.send(writer, 200, good, body)
+            case "silent":
+                await asyncio.sleep(30)
+            case "failing":
+                return await self.send(writer, 500, good, b"failed")
+            case "full":
+                return await self.send(writer, 503, [("Not-Executed", "1")], b"")
+            case "truncated":
+                await self.send(writer, 200, good, body, length=len(body) + 10)
+            case "reset":
+                reset(writer)
+            case "reset without length":
+                await self.send(writer, 200, good, body, length="none")
+                await asyncio.sleep(0.02)
+                reset(writer)
+            case "until close":
+                await self.send(writer, 200, good, body, length="none")
+            case "other request":
+                return await self.send(writer, 200, [("Request-Id", "x"), good[1]], body)
+            case "unsigned":
+                return await self.send(writer, 200, good[:1], body)
+            case "encoded":
+                return await self.send(writer, 200, [*good, ("Content-Encoding", "gzip")], body)
+            case "garbage":
+                writer.write(b"no answer at all\r\n\r\n")
+                await writer.drain()
+            case "extra answer":
+                await self.send(writer, 200, good, body)
+                return await self.send(writer, 200, good, b"an answer nobody asked for")
+            case "stream" | "cut stream":
+                return await self.stream(writer, headers, good)
+        return False
+
+    async def stream(self, writer, headers, good):
+        version = next(iter(self.models.values()), 1)
+        lines = [f"{name}: {value}" for name, value in good]
+        lines += ["Transfer-Encoding: chunked", f"Weight-Versions: {version}"]
+        writer.write("\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode())
+        start = int(headers.get("last-event-id", "-1")) + 1
+        for number in range(start, self.events):
+            if self.behaviour == "cut stream" and number == start + 2:
+                writer.write(b"9\r\nid: 2\nda")
+                return False
+            event = f"id: {number}\ndata: e{number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(self.event_s)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,91 @@
+"""The registry of upstreams: late heartbeats, restarts, taken addresses, deltas."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from attrs import evolve
+
+from apricotvale.discovery import Registry, RegistryState, RegistryView, Standing, Upstream
+from apricotvale.discovery import registry as registry_module
+
+FIRST = Upstream("i-1", 1000, 1, "desk", "10.0.0.1:80", "szeged", 6, Standing.READY)
+
+
+@pytest.fixture
+def registry():
+    registry = Registry(RegistryState())
+    assert registry.announce(FIRST, 1)
+    return registry
+
+
+def test_a_heartbeat_that_says_nothing_new_changes_nothing(registry):
+    assert not registry.is_news(evolve(FIRST, sequence=2))
+    assert not registry.announce(evolve(FIRST, sequence=2), 2)
+    assert registry.state.position == 1
+
+
+def test_a_late_heartbeat_does_not_undo_draining(registry):
+    assert registry.announce(evolve(FIRST, sequence=5, standing=Standing.DRAINING), 2)
+    assert not registry.announce(evolve(FIRST, sequence=4), 3)
+    assert registry.state.upstreams["i-1"].standing is Standing.DRAINING
+
+
+def test_a_restart_under_the_same_id_counts_anew(registry):
+    assert registry.announce(evolve(FIRST, sequence=9, standing=Standing.DRAINING), 2)
+    again = evolve(FIRST, born_ms=2000, sequence=1)
+    assert registry.announce(again, 3)
+    assert not registry.announce(evolve(FIRST, sequence=10), 4)
+    assert registry.state.upstreams["i-1"].incarnation == again.incarnation
+
+
+def test_heartbeats_of_an_upstream_that_left_are_late(registry):
+    assert registry.depart("i-1", 2)
+    assert not registry.announce(evolve(FIRST, sequence=2), 3)
+    assert registry.announce(evolve(FIRST, born_ms=2000), 4)
+    assert not registry.depart("i-9", 5)
+
+
+def test_an_address_belongs_to_the_youngest(registry):
+    successor = evolve(FIRST, upstream_id="i-2", born_ms=5000, service="other")
+    assert registry.announce(successor, 2)
+    assert not registry.announce(evolve(FIRST, sequence=7), 3)
+    assert list(registry.state.upstreams) == ["i-2"]
+
+
+def test_a_silent_upstream_is_ready_again_when_heard(registry):
+    assert registry.silence("i-1", 1000, 1, 2)
+    assert not registry.silence("i-1", 1000, 1, 3)
+    assert registry.announce(evolve(FIRST, sequence=2), 4)
+    assert registry.state.upstreams["i-1"].standing is Standing.READY
+
+
+def test_an_upstream_heard_meanwhile_is_not_silenced(registry):
+    registry.announce(evolve(FIRST, sequence=3, capacity=7), 2)
+    assert not registry.silence("i-1", 1000, 1, 3)
+
+
+def test_views_follow_by_deltas_from_any_position(monkeypatch):
+    monkeypatch.setattr(registry_module, "MAX_DEPARTED", 3)
+    registry = Registry(RegistryState())
+    views = [RegistryView() for _ in range(6)]
+    position = itertools.count(1)
+    for number in range(40):
+        upstream = evolve(FIRST, upstream_id=f"i-{number}", address=f"10.0.0.{number}:80")
+        registry.announce(upstream, next(position))
+        if number >= 3:
+            registry.depart(f"i-{number - 3}", next(position))
+        for at, view in enumerate(views):
+            if number % (at + 1) == 0:
+                view.apply(registry.since(view.position))
+                assert view.upstreams == registry.state.upstreams
+
+
+def test_an_older_delta_is_ignored(registry):
+    view = RegistryView()
+    old = registry.since(-1)
+    registry.announce(evolve(FIRST, sequence=2, standing=Standing.DRAINING), 2)
+    view.apply(registry.since(-1))
+    view.apply(old)
+    assert view.ready("desk") == []
--- /dev/null
+++ b/tests/test_load_plans.py
@@ -0,0 +1,99 @@
+"""Which engines load which version, and when."""
+
+from __future__ import annotations
+
+import pytest
+from attrs import evolve
+
+from apricotvale.discovery import Standing, Upstream
+from apricotvale.weights.assignment import assign_engines, share_out
+from apricotvale.weights.orders import IDLE_WAIT_S, EngineLoads, Target, plan_loads
+
+BASE = Upstream("e", 1, 1, "lm", "x:1", "a", 8, Standing.READY, models={"m": 1, "n": 1})
+ENGINES = [evolve(BASE, upstream_id=f"e-{number}") for number in range(5)]
+NOW = 100.0
+
+
+def plan(targets=None, engines=ENGINES, loads=None, runs=None, assigned=None, now=NOW):
+    targets = targets or [Target("m", 2, NOW)]
+    planned = plan_loads(targets, engines, loads or {}, runs or {}, now, assigned)
+    return [(load.upstream.upstream_id, load.model, load.version) for load in planned]
+
+
+def test_loads_are_staggered():
+    assert len(plan()) == 2
+    loading = {ENGINES[0].incarnation: EngineLoads(loading_until=NOW + 0.5)}
+    assert len(plan(loads=loading)) == 1
+
+
+def test_idle_engines_go_first_and_busy_ones_are_waited_for():
+    runs = {(engine.incarnation, "m"): 3 for engine in ENGINES[:4]}
+    assert plan(runs=runs) == [("e-4", "m", 2)]
+    assert len(plan(runs=runs, now=NOW + IDLE_WAIT_S)) == 2
+
+
+def test_runs_of_another_model_do_not_hold_a_load_up():
+    runs = {(engine.incarnation, "n"): 8 for engine in ENGINES}
+    assert len(plan(runs=runs)) == 2
+
+
+@pytest.mark.parametrize(
+    "engines",
+    [
+        [evolve(ENGINES[0], models={"m": 2})],
+        [evolve(ENGINES[0], models={"n": 1})],
+        [evolve(ENGINES[0], standing=Standing.DRAINING)],
+    ],
+)
+def test_engines_that_need_no_load_get_none(engines):
+    assert plan(engines=engines) == []
+
+
+def test_an_engine_known_to_hold_the_version_is_not_told_again():
+    loads = {engine.incarnation: EngineLoads(versions={"m": 2}) for engine in ENGINES}
+    assert plan(loads=loads) == []
+
+
+def test_an_order_that_was_postponed_is_not_repeated_at_once():
+    loads = {engine.incarnation: EngineLoads(retry_at=NOW + 1) for engine in ENGINES}
+    assert plan(loads=loads) == []
+
+
+def test_only_the_engines_of_a_model_load_it():
+    assigned = {"m": {ENGINES[3].incarnation}, "n": {e.incarnation for e in ENGINES[:3]}}
+    targets = [Target("m", 2, NOW), Target("n", 2, NOW)]
+    assert plan(targets, assigned=assigned) == [("e-3", "m", 2), ("e-0", "n", 2)]
+
+
+@pytest.mark.parametrize(
+    ("count", "demand", "shares"),
+    [
+        (5, {"m": 1.0, "n": 5.4}, {"m": 1, "n": 4}),
+        (4, {"m": 1.0, "n": 1.0}, {"m": 2, "n": 2}),
+        (20, {"a": 1.0, "b": 1.0, "c": 2.0, "d": 4.0}, {"a": 3, "b": 3, "c": 5, "d": 9}),
+    ],
+)
+def test_engines_are_shared_by_demand(count, demand, shares):
+    assert share_out(count, demand) == shares
+
+
+def test_engines_stay_with_their_model_while_shares_hold():
+    demand = {"m": 1.0, "n": 4.0}
+    first = assign_engines(ENGINES, demand, {}, {})
+    assert sorted(len(engines) for engines in first.values()) == [1, 4]
+    assert assign_engines(list(reversed(ENGINES)), demand, {}, first) == first
+
+
+def test_the_place_of_a_lost_engine_is_given_away():
+    demand = {"m": 1.0, "n": 4.0}
+    first = assign_engines(ENGINES, demand, {}, {})
+    only = next(iter(first["m"]))
+    left = [engine for engine in ENGINES if engine.incarnation != only]
+    again = assign_engines(left, demand, {}, first)
+    assert len(again["m"]) == 1 and again["m"] < first["n"]
+
+
+@pytest.mark.parametrize("demand", [{"m": 5.0}, {"m": 5.0, "n": 0.0}])
+def test_a_single_busy_model_uses_every_engine(demand):
+    assigned = assign_engines(ENGINES, demand, {}, {})
+    assert all(len(engines) == 5 for engines in assigned.values())
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,295 @@
+"""The adapter end to end, against stand-ins of the platform's upstreams and callers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from apricotvale.platform import names
+from tests.platform_site import Site, item, job, table
+
+
+@pytest.fixture
+async def site(tmp_path):
+    async with Site(tmp_path) as site:
+        await site.settle()
+        yield site
+
+
+# -- configuration
+
+
+async def test_the_newest_table_is_read_back_at_every_replica(site):
+    sent = table(5)
+    assert await site.put_table(sent, at=1) == 200
+    for at in range(3):
+        status, body = await site.control_call("GET", names.CONFIG_PATH, at=at)
+        assert (status, json.loads(body)) == (200, sent)
+
+
+async def test_a_table_that_is_not_newer_is_acknowledged_and_changes_nothing(site):
+    assert await site.put_table(table(5)) == 200
+    assert await site.put_table(table(5, routes=[])) == 200
+    assert await site.put_table(table(2)) == 200
+    _, body = await site.control_call("GET", names.CONFIG_PATH, at=2)
+    assert json.loads(body) == table(5)
+
+
+@pytest.mark.parametrize("body", [b"{", b"[]", json.dumps(table(9, services=[])).encode()])
+async def test_an_invalid_table_is_rejected_and_changes_nothing(site, body):
+    status, _ = await site.control_call("PUT", names.CONFIG_PATH, body=body, at=1)
+    assert status == 400
+    _, held = await site.control_call("GET", names.CONFIG_PATH)
+    assert json.loads(held)["version"] == 1
+
+
+async def test_racing_tables_leave_the_highest_version(site):
+    statuses = await asyncio.gather(
+        *(site.put_table(table(version), at=version % 3) for version in range(10, 18))
+    )
+    assert set(statuses) == {200}
+    _, body = await site.control_call("GET", names.CONFIG_PATH, at=1)
+    assert json.loads(body) == table(17)
+
+
+async def test_a_dropped_route_is_dropped_within_its_bound(site):
+    routes = [route for route in table(1)["routes"] if route["name"] != "fees"]
+    assert await site.put_table(table(3, routes=routes)) == 200
+
+    async def status():
+        return (await site.request("/fees/1"))[0]
+
+    await site.until(status, lambda status: status == 404, timeout_s=2.0)
+
+
+# -- requests
+
+
+async def test_a_request_is_answered_by_an_upstream(site):
+    status, headers, body = await site.request("/fees/1?a=b")
+    assert (status, body) == (200, b"body of r-1")
+    assert headers[names.SERVER_STAMP] == "stamp-r-1"
+    seen = [seen for desk in site.desks for seen in desk.seen]
+    assert [s.target for s in seen] == ["/fees/1?a=b"]
+
+
+@pytest.mark.parametrize(("path", "host"), [("/nowhere/1", None), ("/fees/1", "other.example")])
+async def test_an_unknown_route_is_not_found(site, path, host):
+    status, _, _ = await site.request(path, host=host or "desk.example")
+    assert status == 404
+
+
+@pytest.mark.parametrize("behaviour", ["reset", "truncated", "garbage", "full", "failing"])
+async def test_a_bad_upstream_is_made_up_for_by_another(site, behaviour):
+    site.desks[0].behaviour = behaviour
+    for number in range(6):
+        status, _, body = await site.request("/fees/1", f"r-{number}")
+        assert (status, body) == (200, f"body of r-{number}".encode())
+
+
+async def test_a_silent_upstream_costs_half_the_objective(site):
+    site.desks[0].behaviour = "silent"
+    began = asyncio.get_running_loop().time()
+    for number in range(4):
+        status, _, _ = await site.request("/fees/1", f"r-{number}")
+        assert status == 200
+    assert asyncio.get_running_loop().time() - began < 1.0
+
+
+async def test_full_upstreams_are_a_refusal_with_a_time_to_come_back(site):
+    for desk in site.desks:
+        desk.behaviour = "full"
+    status, headers, _ = await site.request("/fees/1")
+    assert status == 503 and float(headers[names.RETRY_AFTER]) > 0
+
+
+async def test_without_an_answer_a_request_ends_at_its_deadline(site):
+    for desk in site.desks:
+        desk.behaviour = "silent"
+    began = asyncio.get_running_loop().time()
+    status, _, _ = await site.request("/fees/1", Deadline_Ms="400")
+    assert status == 504
+    assert 0.3 < asyncio.get_running_loop().time() - began < 0.9
+
+
+async def test_when_the_caller_goes_the_upstream_is_left(site):
+    for desk in site.desks:
+        desk.behaviour = "silent"
+    task = asyncio.create_task(site.request("/fees/1"))
+    await asyncio.sleep(0.1)
+    task.cancel()
+    await asyncio.sleep(0.2)
+    readers = [reader for desk in site.desks for reader in desk.readers]
+    assert readers and all(reader.at_eof() for reader in readers)
+
+
+async def test_a_draining_upstream_gets_no_more_requests(site):
+    assert await site.beat(site.desks[0], "draining", at=1) == 200
+    await asyncio.sleep(0.2)
+    for number in range(6):
+        assert (await site.request("/fees/1", f"r-{number}"))[0] == 200
+    assert site.desks[0].seen == []
+
+
+async def test_an_upstream_that_left_is_gone_at_once(site):
+    status, _ = await site.control_call("DELETE", "/api/replicas/d-0", at=2)
+    assert status == 200
+    assert await site.beat(site.desks[0]) == 200
+    await asyncio.sleep(0.2)
+    for number in range(4):
+        assert (await site.request("/fees/1", f"r-{number}"))[0] == 200
+    assert site.desks[0].seen == []
+
+
+async def test_an_unreadable_heartbeat_harms_nobody(site):
+    status, _ = await site.control_call("PUT", "/api/replicas/d-0", body=b"\xff", at=1)
+    assert status == 400
+    assert (await site.request("/fees/1"))[0] == 200
+
+
+async def test_the_entry_is_ready_with_a_table(site):
+    async with site.session.get(site.readiness) as response:
+        assert response.status == 200
+
+
+# -- jobs
+
+
+async def test_a_job_is_run_scored_and_read(site):
+    assert await site.submit("j-1", job(item("i-1"), item("i-2"), item("i-3", "g2"))) == 202
+    results = await site.all_results("j-1", 3)
+    assert sorted(results) == ["i-1", "i-2", "i-3"]
+    assert results["i-1"] == {
+        "id": "i-1",
+        "state": "completed",
+        "output": "e0\ne1\ne2\ne3\ne4",
+        "versions": [1],
+        "score": "stamp-s-i-1",
+    }
+
+
+async def test_a_resent_job_is_accepted_again_and_run_once(site):
+    document = job(item("i-1"))
+    assert [await site.submit("j-1", document) for _ in range(3)] == [202] * 3
+    await site.all_results("j-1", 1)
+    assert await site.submit("j-1", document) == 202
+    status, read = await site.results("j-1")
+    assert (status, read["total"], read["next"]) == (200, 1, 1)
+    assert sum(len(engine.seen) for engine in site.engines) == 1
+
+
+async def test_a_malformed_job_is_rejected(site):
+    assert await site.submit("j-1", b"{") == 400
+    assert (await site.results("j-1"))[0] == 404
+
+
+async def test_a_cut_run_goes_on_behind_its_last_event(site):
+    site.engines[0].behaviour = site.engines[1].behaviour = "cut stream"
+    assert await site.submit("j-1", job(item("i-1"))) == 202
+    results = await site.all_results("j-1", 1)
+    assert results["i-1"]["output"] == "e0\ne1\ne2\ne3\ne4"
+    resumed = [
+        seen.headers["last-event-id"]
+        for engine in site.engines
+        for seen in engine.seen
+        if "last-event-id" in seen.headers
+    ]
+    assert resumed
+
+
+async def test_an_item_that_always_fails_is_listed_as_failed(site):
+    for engine in site.engines:
+        engine.behaviour = "failing"
+    assert await site.submit("j-1", job(item("i-1"))) == 202
+    results = await site.all_results("j-1", 1)
+    assert results["i-1"] == {"id": "i-1", "state": "errored"}
+    assert sum(len(engine.seen) for engine in site.engines) == 3
+
+
+async def test_an_ended_job_runs_nothing_more_and_stays_readable(site):
+    for engine in site.engines:
+        engine.events, engine.event_s = 1000, 0.01
+    assert await site.submit("j-1", job(item("i-1"), item("i-2"))) == 202
+    await asyncio.sleep(0.2)
+    for _ in range(2):
+        async with site.session.delete(site.url + "/api/lots/j-1") as response:
+            assert response.status == 200
+    await asyncio.sleep(0.3)
+    assert all(not engine.writers for engine in site.engines)
+    assert (await site.results("j-1"))[0] == 200
+
+
+async def test_bodies_are_read_until_listed(site):
+    for engine in site.engines:
+        engine.behaviour = "full"
+    assert await site.submit("j-1", job(item("i-1"))) == 202
+    async with site.session.get(site.url + "/api/items/j-1?id=i-1") as response:
+        assert (response.status, await response.read()) == (200, b"prompt")
+    for engine in site.engines:
+        engine.behaviour = "stream"
+    await site.all_results("j-1", 1)
+    async with site.session.get(site.url + "/api/items/j-1?id=i-1") as response:
+        assert response.status == 404
+
+
+async def test_unknown_jobs_are_not_found(site):
+    assert (await site.results("j-9"))[0] == 404
+    async with site.session.delete(site.url + "/api/lots/j-9") as response:
+        assert response.status == 404
+
+
+# -- versions and the group
+
+
+async def test_a_named_version_is_loaded_by_every_engine_once(site):
+    document = {"model": "m", "version": 2}
+    for at in range(3):
+        status, _ = await site.control_call("POST", names.VERSION_PATH, document, at=at)
+        assert status == 200
+
+    async def versions():
+        return [engine.models["m"] for engine in site.engines]
+
+    await site.until(versions, lambda found: found == [2, 2])
+    assert await site.submit("j-1", job(item("i-1"), min_version=2)) == 202
+    results = await site.all_results("j-1", 1)
+    assert results["i-1"]["versions"] == [2]
+    assert [engine.orders for engine in site.engines] == [1, 1]
+
+
+async def test_old_weights_run_nothing_for_a_step_that_refuses_them(site):
+    assert await site.submit("j-1", job(item("i-1"), min_version=3)) == 202
+    await asyncio.sleep(0.3)
+    assert sum(len(engine.seen) for engine in site.engines) == 0
+
+
+async def test_a_retirement_that_leaves_too_few_is_refused(site):
+    for at in range(3):
+        status, _ = await site.control_call("POST", "/api/retire/storage-0", {}, at=at)
+        assert status == 409
+    status, _ = await site.control_call("POST", "/api/retire/storage-9", {})
+    assert status == 404
+    status, _ = await site.control_call("GET", "/api/retire/storage-9", {})
+    assert status == 404
+
+
+async def test_when_the_leader_ends_jobs_go_on_and_tables_stay(site):
+    leader = next(at for at, control in enumerate(site.controls) if control.replica.leads)
+    assert await site.put_table(table(8), at=(leader + 1) % 3) == 200
+    for engine in site.engines:
+        engine.events, engine.event_s = 30, 0.03
+    assert await site.submit("j-1", job(item("i-1"), item("i-2"))) == 202
+    site.tasks[leader].cancel()
+    for engine in site.engines:
+        engine.events, engine.event_s = 5, 0.01
+    other = (leader + 1) % 3
+    results = await site.all_results("j-1", 2)
+    assert {result["state"] for result in results.values()} == {"completed"}
+
+    async def read():
+        return await site.control_call("GET", names.CONFIG_PATH, at=other)
+
+    status, body = await site.until(read, lambda answer: answer[0] == 200)
+    assert json.loads(body)["version"] == 8
