--- a/src/apricotvale/daemons/entry_of_fleet.py
+++ b/src/apricotvale/daemons/entry_of_fleet.py
@@ -7,7 +7,7 @@
 from contextlib import contextmanager
 from typing import Any
 
-from apricotvale import clock, events
+from apricotvale import clock, events, metrics
 from apricotvale.daemons.fleet_link import FleetLink
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.link import ATTEMPT_S
@@ -85,13 +85,17 @@
         except asyncio.CancelledError:
             events.emit(events.CANCELLED, request=call.request_id, why="the caller has gone")
             raise
+        took_s = clock.now() - arrived
+        outcome = result.reason if isinstance(result, Refusal) else str(result.status)
+        metrics.REQUESTS_TOTAL.labels(outcome).inc()
+        metrics.REQUEST_SECONDS.observe(took_s)
         events.emit(
             events.ANSWERED,
             request=call.request_id,
             route=route.name,
             table=self.link.table.version if self.link.table else 0,
             status=result.status,
-            took_ms=round((clock.now() - arrived) * 1000),
+            took_ms=round(took_s * 1000),
         )
         return result
 
--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -9,7 +9,7 @@
 
 from attrs import define, evolve
 
-from apricotvale import clock, events
+from apricotvale import clock, events, metrics
 from apricotvale.codec import encode
 from apricotvale.consensus.disk import FolderDisk
 from apricotvale.consensus.storage import Storage
@@ -206,7 +206,8 @@
 
     async def commit(self, command: c.Command) -> Any:
         """Commit a command; return the reply for whoever called."""
-        result = await self.replica.propose(encode(command, c.Command))
+        with metrics.COMMIT_SECONDS.time():
+            result = await self.replica.propose(encode(command, c.Command))
         if isinstance(result, NotLeader):
             return Redirect(self.replica.leader_address())
         if isinstance(result, LostLeadership):
@@ -399,10 +400,12 @@
             upstream.upstream_id: Heard(upstream.order, now)
             for upstream in self.state.registry.state.upstreams.values()
         }
+        metrics.LEADS.set(1)
         events.emit(events.RUNNER_STARTED, term=self.led_term)
 
     def stop_leading(self) -> None:
         """Stop everything that only a leader may do."""
+        metrics.LEADS.set(0)
         self.led_term = 0
         self.led_since = float("inf")
         self.runner.stop()
--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -5,9 +5,9 @@
 import asyncio
 import random
 
-from apricotvale import clock, events
+from apricotvale import clock, events, metrics
 from apricotvale.discovery import RegistryView, Upstream
-from apricotvale.outcomes import Ran, Reason, Refusal
+from apricotvale.outcomes import Reason, Refusal
 from apricotvale.requests.calls import Answer, Call, UpstreamClient
 from apricotvale.requests.forwarding import ForwardedRequest
 from apricotvale.requests.routing import Router
@@ -94,6 +94,8 @@
             result = await self.client.call(upstream, call)
         finally:
             self.router.end(upstream)
+        outcome = result.reason if isinstance(result, Refusal) else str(result.status)
+        metrics.ATTEMPTS_TOTAL.labels(outcome).inc()
         if not isinstance(result, Refusal):
             self.router.succeed(upstream)
             self.router.observe(upstream, clock.now() - began, 1)
@@ -124,8 +126,3 @@
                 left_ms=round((call.deadline - now) * 1000),
             )
         return result
-
-
-def promises_not_run(refusal: Refusal) -> bool:
-    """Return whether a refusal may tell the caller that nothing ran."""
-    return refusal.ran is Ran.NOT_RUN
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -8,7 +8,7 @@
 
 from attrs import define
 
-from apricotvale import clock, events
+from apricotvale import clock, events, metrics
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.runtime import TaskGroup
 from apricotvale.discovery import Upstream
@@ -232,6 +232,7 @@
         except (StreamCutError, TimeoutError, ValueError) as error:
             why = repr(error)
         place.fail(clock.now())
+        metrics.ITEMS_TOTAL.labels("cut").inc()
         events.emit(
             events.ITEM_CUT,
             job=run.job.job_id,
@@ -353,6 +354,7 @@
             score,
         )
         if await self.commit(c.ListResult(run.job.job_id, result)):
+            metrics.ITEMS_TOTAL.labels(state).inc()
             events.emit(
                 events.ITEM_LISTED,
                 job=run.job.job_id,
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -38,6 +38,7 @@
 TASK_FAILED = event(104, "task-failed", "ERROR", "A background task ended by an error.")
 RELOADED = event(105, "reloaded", "INFO", "A process has read its settings again.")
 RELOAD_FAILED = event(106, "reload-failed", "ERROR", "Settings read again cannot be used.")
+LINES_DROPPED = event(107, "lines-dropped", "WARNING", "More log lines came than are written.")
 
 ROUTED = event(200, "routed", "INFO", "An upstream was chosen, with the candidates and why.")
 REFUSED = event(201, "refused", "INFO", "A request was refused, with the reason.")
@@ -121,8 +122,8 @@
     logger.add(lambda message: writer(message, process), level=level, format="{message}")
 
 
-def write_json(message: Any, process: str) -> None:
-    """Write a line as JSON."""
+def json_line(message: Any, process: str) -> str:
+    """Return a line as JSON."""
     record = message.record
     line = {
         "at": round(record["time"].timestamp(), 3),
@@ -130,7 +131,12 @@
         "process": process,
         **record["extra"],
     }
-    sys.stderr.write(json.dumps(line, default=str) + "\n")
+    return json.dumps(line, default=str)
+
+
+def write_json(message: Any, process: str) -> None:
+    """Write a line as JSON."""
+    sys.stderr.write(json_line(message, process) + "\n")
 
 
 def write_text(message: Any, process: str) -> None:
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -1,8 +1,10 @@
-"""Metrics, sent by statsd. `docs/operators/metrics.md` lists them."""
+"""Metrics: sent by statsd, or served as text by the processes of a fleet."""
 
 from __future__ import annotations
 
 import statsd
+from aiohttp import web
+from prometheus_client import Counter, Gauge, Histogram, generate_latest
 
 REQUESTS = "requests"
 REFUSALS = "refusals"
@@ -11,6 +13,33 @@
 REQUEST_MS = "request_ms"
 COMMITS = "commits"
 
+# Seconds, from a cached answer to a step's deadline.
+BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+
+REQUESTS_TOTAL = Counter("apricotvale_requests", "Final answers to callers.", ["outcome"])
+REQUEST_SECONDS = Histogram(
+    "apricotvale_request_seconds", "From a request's arrival to its final answer.", buckets=BUCKETS
+)
+ATTEMPTS_TOTAL = Counter("apricotvale_attempts", "Sendings to upstreams.", ["outcome"])
+ITEMS_TOTAL = Counter("apricotvale_items", "Ends of runs of items.", ["outcome"])
+COMMIT_SECONDS = Histogram(
+    "apricotvale_commit_seconds", "From a command to its result.", buckets=BUCKETS
+)
+LEADS = Gauge("apricotvale_leads", "Whether this replica leads.")
+LOG_LINES_DROPPED = Counter("apricotvale_log_lines_dropped", "Log lines over the bound.")
+METRICS_PATH = "/metrics"
+
+
+def make_app() -> web.Application:
+    """Return an application that serves the metrics as text."""
+
+    async def serve(request: web.Request) -> web.Response:
+        return web.Response(body=generate_latest(), content_type="text/plain")
+
+    app = web.Application()
+    app.router.add_get(METRICS_PATH, serve)
+    return app
+
 
 class Metrics:
     """A statsd client, or nothing where no server is set."""
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -5,15 +5,16 @@
 import asyncio
 import os
 import sys
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
 
-from apricotvale import events
+from apricotvale import events, metrics
 from apricotvale.daemons.entry_of_fleet import FleetEntry
 from apricotvale.daemons.fleet_control import FleetControl
 from apricotvale.daemons.runtime import HttpServer, on_reload, run
 from apricotvale.exceptions import ApricotvaleError
+from apricotvale.log_writer import configure_bounded
 from apricotvale.platform import names, wire
 from apricotvale.platform.client import PlatformClient
 from apricotvale.platform.interface import ControlInterface
@@ -22,6 +23,8 @@
 
 SETTINGS_VARIABLE = "APRICOTVALE_BOOT"
 
+Role = Callable[[FleetSettings, asyncio.Event], Awaitable[None]]
+
 
 async def run_entry(settings: FleetSettings, stop: asyncio.Event) -> None:
     """Serve callers until told to stop."""
@@ -62,11 +65,19 @@
         events.emit(events.RELOAD_FAILED, error=error.format_message())
         return
     events.emit(events.RELOADED, contacts=settings.contacts)
-    events.configure(settings.name, level=settings.log_level)
     take_settings(settings)
 
 
-ROLES = {"entry": run_entry, "control": run_control}
+async def run_role(role: Role, settings: FleetSettings, stop: asyncio.Event) -> None:
+    """Run a role with its metrics served beside it."""
+    async with AsyncExitStack() as stack:
+        if settings.metrics:
+            server = HttpServer(metrics.make_app(), settings.metrics)
+            await stack.enter_async_context(server)
+        await role(settings, stop)
+
+
+ROLES: dict[str, Role] = {"entry": run_entry, "control": run_control}
 
 
 def main() -> None:
@@ -77,5 +88,5 @@
     except ApricotvaleError as error:
         sys.stderr.write(f"Error: {error.format_message()}\n")
         sys.exit(error.exit_code)
-    events.configure(settings.name, level=settings.log_level)
-    run(lambda stop: role(settings, stop))
+    configure_bounded(settings.name, settings.log_level)
+    run(lambda stop: run_role(role, settings, stop))
