Explain a request from the logs of all processes

Cause: an on-call engineer has only logs; finding one request's lines among ten processes took grep and sorting by hand. Ruled out: nothing.

--- a/src/apricotvale/cli/__init__.py
+++ b/src/apricotvale/cli/__init__.py
@@ -9,6 +9,7 @@
 from apricotvale import __version__
 from apricotvale.cli.bench import bench
 from apricotvale.cli.config import config
+from apricotvale.cli.explain import explain
 from apricotvale.cli.operate import drain, events_command, samples, status, weights
 from apricotvale.cli.processes import allinone, control, entry, sidecar
 from apricotvale.cli.standins import standin
@@ -33,6 +34,7 @@
     weights,
     samples,
     events_command,
+    explain,
     standin,
     bench,
     try_command,
--- /dev/null
+++ b/src/apricotvale/cli/explain.py
@@ -0,0 +1,24 @@
+"""The command that explains one request from log files."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from apricotvale import explanation
+
+
+@click.command()
+@click.argument("request_id")
+@click.argument("log_files", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True))
+def explain(request_id: str, log_files: tuple[Path, ...]) -> None:
+    """Show what LOG_FILES say about a request, job or item, and the cause of its failure."""
+    lines = []
+    for path in log_files:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            lines += explanation.read_lines(file)
+    chosen = explanation.about(lines, request_id)
+    for line in chosen:
+        click.echo(line.format())
+    click.echo(f"cause: {explanation.cause(chosen)}")
