--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -120,6 +120,19 @@
             place.begin(job.model)
             run.task = self.tasks.start(self.run_item(route, run, engine, place))
 
+    def needed_versions(self) -> dict[str, int]:
+        """Return the oldest version by model that items waiting for an engine accept."""
+        needed: dict[str, int] = {}
+        for record in self.state.jobs.open_records():
+            job = record.job
+            waits = any(
+                (job.job_id, item.item_id) not in self.runs
+                for item in self.state.jobs.unlisted(record)
+            )
+            if waits:
+                needed[job.model] = max(needed.get(job.model, 0), job.min_version)
+        return needed
+
     def move_runs(self, now: float) -> None:
         """Let runs on slow engines go on at much faster ones that have free places."""
         if self.table is None:
--- a/src/apricotvale/daemons/load_tender.py
+++ b/src/apricotvale/daemons/load_tender.py
@@ -81,7 +81,13 @@
         }
         self.assigned = assign_engines(engines, self.demand(), self.runner.loads, self.assigned)
         planned = plan_loads(
-            list(self.targets.values()), engines, self.runner.loads, in_flight, now, self.assigned
+            list(self.targets.values()),
+            engines,
+            self.runner.loads,
+            in_flight,
+            now,
+            self.assigned,
+            self.runner.needed_versions(),
         )
         for load in planned:
             incarnation = load.upstream.incarnation
--- a/src/apricotvale/weights/orders.py
+++ b/src/apricotvale/weights/orders.py
@@ -107,6 +107,7 @@
     in_flight: dict[tuple[str, str], int],
     now: float,
     assigned: dict[str, set[str]] | None = None,
+    needed: dict[str, int] | None = None,
 ) -> list[PlannedLoad]:
     """Return the loads to order now.
 
@@ -114,7 +115,10 @@
     :param loads: loads by the engine's incarnation.
     :param in_flight: runs by the engine's incarnation and the model.
     :param assigned: incarnations that keep up with a model; a model without any uses all.
+    :param needed: oldest version by model that items waiting for an engine accept. An engine with
+        an older one is of no use to them, so it is told to load though it runs other items.
     """
+    wanted = needed or {}
     usable = [engine for engine in engines if engine.standing is Standing.READY]
     limit = max(1, math.floor(len(usable) * CONCURRENT_SHARE))
     loading = {e.incarnation for e in usable if is_loading(loads.get(e.incarnation), now)}
@@ -132,9 +136,12 @@
         runs = {e.incarnation: in_flight.get((e.incarnation, target.model), 0) for e in waiting}
         waiting.sort(key=lambda engine: runs[engine.incarnation])
         for engine in waiting:
-            idle = not runs[engine.incarnation]
-            if len(loading) >= limit or not (idle or now >= target.since + IDLE_WAIT_S):
+            idle = not runs[engine.incarnation] or now >= target.since + IDLE_WAIT_S
+            held = held_version(engine, loads.get(engine.incarnation), target.model)
+            if len(loading) >= limit:
                 break
+            if not idle and held >= wanted.get(target.model, 0):
+                continue
             loading.add(engine.incarnation)
             planned.append(PlannedLoad(engine, target.model, target.version))
     return planned
--- a/tests/test_load_plans.py
+++ b/tests/test_load_plans.py
@@ -14,9 +14,9 @@
 NOW = 100.0
 
 
-def plan(targets=None, engines=ENGINES, loads=None, runs=None, assigned=None, now=NOW):
+def plan(targets=None, engines=ENGINES, loads=None, runs=None, assigned=None, now=NOW, needed=None):
     targets = targets or [Target("m", 2, NOW)]
-    planned = plan_loads(targets, engines, loads or {}, runs or {}, now, assigned)
+    planned = plan_loads(targets, engines, loads or {}, runs or {}, now, assigned, needed)
     return [(load.upstream.upstream_id, load.model, load.version) for load in planned]
 
 
@@ -32,6 +32,13 @@
     assert len(plan(runs=runs, now=NOW + IDLE_WAIT_S)) == 2
 
 
+@pytest.mark.parametrize(("needed", "count"), [({"m": 2}, 2), ({"m": 1}, 0), ({"n": 2}, 0)])
+def test_a_busy_engine_loads_at_once_what_waiting_items_need(needed, count):
+    """Two steps of one trainer are open, and the newer one refuses the engines' weights."""
+    runs = {(engine.incarnation, "m"): 8 for engine in ENGINES}
+    assert len(plan(runs=runs, needed=needed)) == count
+
+
 def test_runs_of_another_model_do_not_hold_a_load_up():
     runs = {(engine.incarnation, "n"): 8 for engine in ENGINES}
     assert len(plan(runs=runs)) == 2
