Keep what long items have generated, so that a new leader goes on from there

Ruled out: running long items twice from the start (it fills the engines); entries as runners. Change: SaveProgress keeps the events of runs older than 1 s, every 0.5 s, as deltas in one command.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -17,7 +17,7 @@
 from apricotvale.control.calls import JoinProbe, Redirect, Unconfirmed
 from apricotvale.daemons.fleet_link import FLEET
 from apricotvale.daemons.forwarder import Forwarder
-from apricotvale.daemons.job_runner import JobRunner
+from apricotvale.daemons.job_runner import SAVE_EVERY_S, JobRunner
 from apricotvale.daemons.link import ControlClient
 from apricotvale.daemons.load_tender import LoadTender
 from apricotvale.daemons.replica import LostLeadership, Peers, Replica
@@ -114,6 +114,7 @@
         async with TaskGroup() as tasks, self.runner.tasks, self.tender.tasks:
             replica_task = tasks.start(self.replica.run())
             tasks.start(self.duties())
+            tasks.start(self.save_progress())
             events.emit(events.STARTED, listen=self.settings.internal_address)
             stopped = asyncio.create_task(stop.wait())
             await asyncio.wait({stopped, replica_task}, return_when=asyncio.FIRST_COMPLETED)
@@ -390,6 +391,13 @@
                 self.lead(now)
             await wait_event(self.due, DUTY_S)
 
+    async def save_progress(self) -> None:
+        """Keep what long items have generated, while this replica leads."""
+        while True:
+            await asyncio.sleep(SAVE_EVERY_S)
+            if self.led_term:
+                await self.runner.save_progress()
+
     def start_leading(self, now: float) -> None:
         """Begin the duties of a new term; upstreams get time to be heard."""
         if self.led_term:
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -15,7 +15,7 @@
 from apricotvale.exceptions import StreamCutError
 from apricotvale.fleet import commands as c
 from apricotvale.fleet.state import FleetState
-from apricotvale.jobs import Item, ItemState, Job, Result, RewardCall
+from apricotvale.jobs import Item, ItemState, Job, Progress, Result, RewardCall
 from apricotvale.jobs.order import in_running_order
 from apricotvale.jobs.placement import Place, choose_engine, is_worth_moving
 from apricotvale.jobs.transcript import Transcript
@@ -28,6 +28,10 @@
 # continues over it, takes about 1 s.
 STALL_S = 2.5
 RETRY_S = 0.2
+# What a run has generated is kept from this age on, so that a new leader need not begin it anew:
+# most items are whole before, and a step's longest ones take most of its time.
+SAVE_AFTER_S = 1.0
+SAVE_EVERY_S = 0.5
 # A run shorter than this is not worth moving.
 MOVE_AFTER_S = 0.3
 MOVES_AT_ONCE = 2
@@ -50,6 +54,7 @@
     engine: Upstream | None = None
     began: float = 0.0
     moving: bool = False
+    saved_events: int = 0
     task: asyncio.Task[None] | None = None
 
 
@@ -150,8 +155,32 @@
                 run.moving = True
 
     def new_run(self, job: Job, item: Item) -> ItemRun:
-        """Return the record of an item that was not begun."""
-        return ItemRun(job, item, Transcript(self.version_field))
+        """Return the record of an item that this leader has not begun."""
+        run = ItemRun(job, item, Transcript(self.version_field))
+        record = self.state.jobs.state.records.get(job.job_id)
+        progress = record.progress.get(item.item_id) if record else None
+        if progress is not None:
+            run.transcript.resume(progress)
+            run.saved_events = len(progress.data)
+        return run
+
+    async def save_progress(self) -> None:
+        """Commit what long items have generated since the last time, while this replica leads."""
+        by_job: dict[str, list[Progress]] = {}
+        now = clock.now()
+        saved = []
+        for run in self.runs.values():
+            made = len(run.transcript.data)
+            if run.engine is None or now < run.began + SAVE_AFTER_S or made <= run.saved_events:
+                continue
+            progress = run.transcript.progress_since(run.item.item_id, run.saved_events)
+            by_job.setdefault(run.job.job_id, []).append(progress)
+            saved.append((run, made))
+        if by_job:
+            jobs = [c.JobProgress(job_id, items) for job_id, items in by_job.items()]
+            if await self.commit(c.SaveProgress(jobs)):
+                for run, made in saved:
+                    run.saved_events = made
 
     def find_engine(self, route: Route, job: Job, now: float) -> Upstream | None:
         """Return the engine on which an item of a job should run."""
@@ -229,6 +258,7 @@
                     self.note_version(engine, run.job.model, stream.version)
                     if route.single_version and run.transcript.versions != [stream.version]:
                         run.transcript.restart()
+                        run.saved_events = 0
                     whole = await self.read_stream(run, stream, place, engine)
                     place.succeed()
                     if whole:
--- a/src/apricotvale/fleet/commands.py
+++ b/src/apricotvale/fleet/commands.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from apricotvale.discovery import Upstream
-from apricotvale.jobs import Job, Result
+from apricotvale.jobs import Job, Progress, Result
 
 
 @frozen
@@ -62,6 +62,21 @@
     result: Result
 
 
+@frozen
+class JobProgress:
+    """Progress of items of one job."""
+
+    job_id: str
+    items: list[Progress]
+
+
+@frozen
+class SaveProgress:
+    """Keep what long items have generated, so that another leader goes on from there."""
+
+    jobs: list[JobProgress]
+
+
 @frozen
 class EndJob:
     """Stop running a job."""
@@ -91,6 +106,7 @@
     | PublishVersion
     | AcceptJob
     | ListResult
+    | SaveProgress
     | EndJob
     | ForgetJob
     | Retire
--- a/src/apricotvale/fleet/state.py
+++ b/src/apricotvale/fleet/state.py
@@ -82,6 +82,11 @@
                 return c.Applied(self.jobs.accept(command.job, index))
             case c.ListResult():
                 return c.Applied(self.jobs.list_result(command.job_id, command.result))
+            case c.SaveProgress():
+                for job in command.jobs:
+                    for progress in job.items:
+                        self.jobs.save_progress(job.job_id, progress)
+                return c.Applied()
             case c.EndJob():
                 known = self.jobs.end(command.job_id)
                 return c.Applied(known, known)
--- a/src/apricotvale/jobs/__init__.py
+++ b/src/apricotvale/jobs/__init__.py
@@ -1,6 +1,15 @@
 """Jobs: many requests submitted at once, run later, whose results keep their positions."""
 
 from apricotvale.jobs.book import JobBook, JobBookState
-from apricotvale.jobs.types import Item, ItemState, Job, Result, RewardCall
+from apricotvale.jobs.types import Item, ItemState, Job, Progress, Result, RewardCall
 
-__all__ = ["Item", "ItemState", "Job", "JobBook", "JobBookState", "Result", "RewardCall"]
+__all__ = [
+    "Item",
+    "ItemState",
+    "Job",
+    "JobBook",
+    "JobBookState",
+    "Progress",
+    "Result",
+    "RewardCall",
+]
--- a/src/apricotvale/jobs/book.py
+++ b/src/apricotvale/jobs/book.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from attrs import define, field
+from attrs import define, evolve, field
 
-from apricotvale.jobs.types import Item, Job, Result
+from apricotvale.jobs.types import Item, Job, Progress, Result
 
 
 @define
@@ -14,6 +14,7 @@
     job: Job
     accepted_at: int
     results: list[Result] = field(factory=list)
+    progress: dict[str, Progress] = field(factory=dict)
     ended: bool = False
 
 
@@ -49,6 +50,24 @@
             return False
         record.results.append(result)
         self.listed[job_id].add(result.item_id)
+        record.progress.pop(result.item_id, None)
+        return True
+
+    def save_progress(self, job_id: str, progress: Progress) -> bool:
+        """Keep more of an unfinished text; what does not follow on what is held is dropped.
+
+        Progress from the first event on replaces what is held: the text was begun anew.
+        """
+        record = self.state.records.get(job_id)
+        if record is None or record.ended or progress.item_id in self.listed[job_id]:
+            return False
+        held = record.progress.get(progress.item_id)
+        before = held.data if held and progress.start else []
+        if len(before) != progress.start:
+            return False
+        record.progress[progress.item_id] = evolve(
+            progress, start=0, data=[*before, *progress.data]
+        )
         return True
 
     def end(self, job_id: str) -> bool:
@@ -57,6 +76,7 @@
         if record is None:
             return False
         record.ended = True
+        record.progress.clear()
         return True
 
     def forget(self, job_id: str) -> bool:
--- a/src/apricotvale/jobs/transcript.py
+++ b/src/apricotvale/jobs/transcript.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from apricotvale.exceptions import StreamCutError
+from apricotvale.jobs.types import Progress
 
 EVENT_END = b"\n\n"
 
@@ -72,6 +73,17 @@
         """Return the data of all events, separated by line feeds."""
         return b"\n".join(self.data)
 
+    def progress_since(self, item_id: str, start: int) -> Progress:
+        """Return the events behind the first `start` ones."""
+        assert self.last_event_id is not None
+        return Progress(item_id, start, self.last_event_id, list(self.versions), self.data[start:])
+
+    def resume(self, progress: Progress) -> None:
+        """Take the text that an earlier runner kept."""
+        self.last_event_id = progress.last_event_id
+        self.data = list(progress.data)
+        self.versions = list(progress.versions)
+
     def restart(self) -> None:
         """Drop all text."""
         self.last_event_id = None
--- a/src/apricotvale/jobs/types.py
+++ b/src/apricotvale/jobs/types.py
@@ -71,3 +71,19 @@
     output: bytes = b""
     versions: list[int] = field(factory=list)
     score: str = ""
+
+
+@frozen
+class Progress:
+    """Events of an unfinished text, behind those of the progress before it.
+
+    :param last_event_id: id of the last event in it.
+    :param versions: all versions that made the text so far.
+    :param start: how many events the text had before these.
+    """
+
+    item_id: str
+    start: int
+    last_event_id: int
+    versions: list[int]
+    data: list[bytes]
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -10,7 +10,7 @@
 
 from apricotvale.discovery import Standing, Upstream
 from apricotvale.exceptions import StreamCutError
-from apricotvale.jobs import Item, ItemState, Job, JobBook, JobBookState, Result
+from apricotvale.jobs import Item, ItemState, Job, JobBook, JobBookState, Progress, Result
 from apricotvale.jobs.order import in_running_order
 from apricotvale.jobs.placement import Place, choose_engine, is_worth_moving
 from apricotvale.jobs.transcript import Transcript
@@ -72,6 +72,30 @@
     assert not book.list_result("j-1", Result("i-0", ItemState.COMPLETED))
 
 
+def progress(start, *data, item_id="i-0"):
+    return Progress(item_id, start, start + len(data) - 1, [4], list(data))
+
+
+def test_progress_adds_up_and_goes_with_the_result(book):
+    assert book.save_progress("j-1", progress(0, b"a", b"b"))
+    assert not book.save_progress("j-1", progress(3, b"d"))
+    assert book.save_progress("j-1", progress(2, b"c"))
+    held = book.state.records["j-1"].progress["i-0"]
+    assert (held.data, held.last_event_id, held.start) == ([b"a", b"b", b"c"], 2, 0)
+    assert book.save_progress("j-1", progress(0, b"x"))
+    assert book.state.records["j-1"].progress["i-0"].data == [b"x"]
+    book.list_result("j-1", Result("i-0", ItemState.COMPLETED, b"text"))
+    assert book.state.records["j-1"].progress == {}
+    assert not book.save_progress("j-1", progress(0, b"a"))
+
+
+def test_an_ended_job_keeps_no_progress(book):
+    book.save_progress("j-1", progress(0, b"a"))
+    book.end("j-1")
+    assert book.state.records["j-1"].progress == {}
+    assert not book.save_progress("j-1", progress(0, b"a"))
+
+
 # -- texts
 
 
@@ -115,6 +139,15 @@
     assert transcript.output() == b"one"
 
 
+def test_a_text_goes_on_from_kept_progress(transcript):
+    transcript.feed(event(0, "one") + event(1, "two", 5))
+    again = Transcript("weight-versions")
+    again.resume(transcript.progress_since("i", 0))
+    again.begin_run(6)
+    again.feed(event(2, "three"))
+    assert (again.output(), again.versions) == (b"one\ntwo\nthree", [4, 5, 6])
+
+
 def test_a_stream_without_events_is_not_whole(transcript):
     with pytest.raises(StreamCutError):
         transcript.check_end()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -293,3 +293,16 @@
 
     status, body = await site.until(read, lambda answer: answer[0] == 200)
     assert json.loads(body)["version"] == 8
+
+
+async def test_a_new_leader_goes_on_with_a_long_item(site):
+    for engine in site.engines:
+        engine.events, engine.event_s = 60, 0.05
+    assert await site.submit("j-1", job(item("i-1"))) == 202
+    await asyncio.sleep(2.0)
+    leader = next(at for at, control in enumerate(site.controls) if control.replica.leads)
+    site.tasks[leader].cancel()
+    results = await site.all_results("j-1", 1)
+    assert results["i-1"]["output"] == "\n".join(f"e{number}" for number in range(60))
+    seen = [seen.headers for engine in site.engines for seen in engine.seen]
+    assert len(seen) == 2 and int(seen[1]["last-event-id"]) >= 15
