--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -35,6 +35,8 @@
 from apricotvale.settings.fleet import FleetSettings
 
 DUTY_S = 0.1
+# Changes that come within this time share one round of duties.
+GATHER_S = 0.01
 TIMING = Timing(heartbeat_s=0.15, election_s=0.6)
 # A voter that was silent for so long gives its place to a spare replica. Longer than a restart of
 # the process, shorter than the time that a replaced VM has to catch up.
@@ -389,6 +391,7 @@
                 self.stop_leading()
             if self.led_term:
                 self.lead(now)
+            await asyncio.sleep(GATHER_S)
             await wait_event(self.due, DUTY_S)
 
     async def save_progress(self) -> None:
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -35,6 +35,7 @@
 # A run shorter than this is not worth moving.
 MOVE_AFTER_S = 0.3
 MOVES_AT_ONCE = 2
+MOVE_EVERY_S = 0.1
 REWARD_TIMEOUT_S = 3.0
 # Share of a service's places that reward calls may fill: the rest is for callers who wait.
 REWARD_SHARE = 0.5
@@ -89,6 +90,7 @@
         self.rewards_in_flight: Counter[str] = Counter()
         self.reward_freed = asyncio.Event()
         self.seen_at: dict[str, float] = {}
+        self.move_at = 0.0
         self.tasks = TaskGroup()
 
     def tick(self, now: float) -> None:
@@ -104,7 +106,9 @@
             self.seen_at.setdefault(record.job.job_id, now)
             items = in_running_order(record.job, self.state.jobs.unlisted(record))
             self.start_items(record.job, items, now)
-        self.move_runs(now)
+        if now >= self.move_at:
+            self.move_at = now + MOVE_EVERY_S
+            self.move_runs(now)
 
     def start_items(self, job: Job, items: list[Item], now: float) -> None:
         """Start as many items of a job as find a place, in their order."""
