Drop a connection that is made while its channel is closed

Ruled out: waiting for it at close (the peer may be silent). Change: an aborted channel drops what it connects; jobs are kept 30 s longer than promised instead of twice as long, for memory. Figures: the new test fails before and passes after.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -44,6 +44,8 @@
 # Heartbeats that an upstream may miss before it counts as silent.
 MISSED_HEARTBEATS = 3.5
 FORGET_EVERY_S = 5.0
+# Jobs stay readable for so long beyond what was promised.
+RETENTION_MARGIN_S = 30.0
 RESULT_BYTES = 900_000
 HAND_OVER_S = 1.0
 
@@ -455,7 +457,7 @@
         self.forget_at = now + FORGET_EVERY_S
         incarnations = {u.incarnation for u in self.state.registry.state.upstreams.values()}
         self.runner.forget(incarnations)
-        horizon = now - 2 * self.settings.retention_s
+        horizon = now - self.settings.retention_s - RETENTION_MARGIN_S
         for job_id in list(self.state.jobs.state.records):
             seen_at = self.runner.seen_at.setdefault(job_id, now)
             if seen_at < horizon:
--- a/src/apricotvale/daemons/rpc.py
+++ b/src/apricotvale/daemons/rpc.py
@@ -118,6 +118,7 @@
     """A grpclib channel whose connection notices a silent peer and can be dropped at once."""
 
     transport: asyncio.Transport | None = None
+    aborted = False
 
     async def _create_connection(self) -> H2Protocol:
         made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -131,11 +132,15 @@
         except BaseException:
             made.close()
             raise
+        if self.aborted:
+            transport.abort()
+            raise ConnectionAbortedError("the channel was closed while it connected")
         self.transport = transport
         return protocol
 
     def abort(self) -> None:
         """Drop the connection with what it has not sent; closing would wait for a silent peer."""
+        self.aborted = True
         if self.transport is not None:
             self.transport.abort()
             self.transport = None
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from contextlib import suppress
 
 import pytest
 from grpclib.exceptions import StreamTerminatedError
@@ -74,3 +75,25 @@
     await asyncio.sleep(0.05)
     assert transport.is_closing() and transport.get_write_buffer_size() == 0
     listener.close()
+
+
+async def test_a_connection_made_while_its_channel_is_closed_is_dropped():
+    opened, ended = [], []
+
+    async def on_connection(reader, writer):
+        opened.append(writer)
+        with suppress(ConnectionError):
+            await reader.read()
+        ended.append(writer)
+
+    server = await asyncio.start_server(on_connection, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = RpcClient(f"{host}:{port}")
+    call = asyncio.ensure_future(client.call(calls.Query("config"), 1.0))
+    await asyncio.sleep(0)
+    client.close()
+    with pytest.raises((ConnectionAbortedError, StreamTerminatedError)):
+        await call
+    await asyncio.sleep(0.05)
+    assert opened == ended
+    server.close()
