--- a/src/apricotvale/explanation.py
+++ b/src/apricotvale/explanation.py
@@ -78,6 +78,13 @@
         return f"refused ({refused[-1].fields.get('reason')}) after failed attempts: {reasons}"
     if refused:
         return f"refused without an attempt: {refused[-1].fields.get('reason')}"
+    rewards = [line for line in lines if line.name == events.REWARD_FAILED.name]
+    failed = [line for line in lines if line.fields.get("state") == "failed"]
+    if rewards and failed:
+        last = rewards[-1].fields
+        return (
+            f"listed as failed: its reward call got {last.get('errors')} answers of {last['why']}"
+        )
     cuts = [line for line in lines if line.name == events.ITEM_CUT.name]
     listed = [line for line in lines if line.name == events.ITEM_LISTED.name]
     if cuts and not listed:
@@ -86,6 +93,11 @@
         last = (failures or cuts)[-1]
         why = last.fields.get("reason") or last.fields.get("why")
         return f"answered after {len(failures) + len(cuts)} failed attempts, the last: {why}"
+    leaders = list(
+        dict.fromkeys(line.process for line in lines if line.name == events.ITEM_PLACED.name)
+    )
+    if len(leaders) > 1:
+        return f"run again after leadership moved: {', then '.join(leaders)}"
     cancelled = [line for line in lines if line.name == events.CANCELLED.name]
     if cancelled:
         return f"cancelled: {cancelled[-1].fields.get('why')}"
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -32,6 +32,19 @@
         "r",
         "cancelled: the caller has gone",
     ),
+    "reward refused": (
+        [
+            line(0, events.REWARD_FAILED, item="i", request="s", errors=4, why=500),
+            line(1, events.ITEM_LISTED, item="i", state="failed"),
+        ],
+        "i",
+        "listed as failed: its reward call got 4 answers of 500",
+    ),
+    "new leader": (
+        [line(at, events.ITEM_PLACED, f"storage-{at}", item="i") for at in (1, 2)],
+        "i",
+        "run again after leadership moved: storage-1, then storage-2",
+    ),
     "reward": (
         [
             line(1, events.REWARD_FAILED, item="i", request="s"),
