A control replica that stopped renews no lease on an open connection

Cause: beside load, tests of islands failed now and then: the wait for the entry's lease to run out took over 15 s. A stopped control daemon went on to answer syncs on connections that were open between two syncs when it stopped; a sync under way is cancelled, which hid it on an idle machine. Ruled out: load alone (the wait is 15 s against a lease of 3 s); the new channel class (the same race was there before). Change: calls to a stopping control daemon are redirected. A test of log lines that depended on the machine's pace is replaced by one that adds up every line.

--- a/src/apricotvale/daemons/control.py
+++ b/src/apricotvale/daemons/control.py
@@ -107,7 +107,7 @@
         """Answer one call."""
         if isinstance(request, calls.JoinProbe):
             return self.replica.probe(request)
-        if not self.replica.leads:
+        if not self.replica.leads or self.stopping:
             return calls.Redirect(self.replica.leader_address())
         if isinstance(request, calls.Sync):
             return await self.on_sync(request)
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -87,17 +87,18 @@
     os.close(descriptor)
 
 
-def test_a_process_says_how_many_lines_it_dropped():
+def test_a_process_tells_of_every_line_it_dropped():
     script = (
         "import time\n"
         "from apricotvale import events\n"
         "from apricotvale.log_writer import configure_bounded\n"
         "configure_bounded('edge-1')\n"
-        "for _ in range(3000): events.emit(events.ROUTED, request='r')\n"
+        "for _ in range(20000): events.emit(events.ROUTED, request='r')\n"
         "time.sleep(0.1)\n"
         "events.emit(events.ROUTED, request='last')\n"
     )
     done = subprocess.run([sys.executable, "-c", script], capture_output=True, check=True)
     lines = [json.loads(line) for line in done.stdout.splitlines()]
+    told = [line["count"] for line in lines if line["name"] == "lines-dropped"]
     assert lines[-1]["request"] == "last" and lines[-1]["process"] == "edge-1"
-    assert lines[-2]["name"] == "lines-dropped" and lines[-2]["count"] > 0
+    assert told and sum(told) + len(lines) - len(told) == 20_001
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,11 +7,14 @@
 from types import SimpleNamespace
 
 import pytest
+from grpclib.exceptions import StreamTerminatedError
 
+from apricotvale.control import calls
 from apricotvale.control import commands as c
 from apricotvale.control.calls import SyncReply
 from apricotvale.control.configuration import ConfigDocument
 from apricotvale.daemons.orders import OrderRunner
+from apricotvale.daemons.rpc import RpcClient
 from apricotvale.membership.roster import RosterDelta
 from apricotvale.standins.engine import Engine, EngineSpec
 from apricotvale.weights.rollout import Fence, Grant
@@ -132,3 +135,21 @@
             status, problem = await site.post("/trainers/t/steps/1/pull", body)
         assert (status, problem["ran"]) == (503, "not_run")
         await asyncio.sleep(0)
+
+
+async def test_a_control_replica_that_stopped_renews_no_lease_on_an_open_connection(tmp_path):
+    async with Site(tmp_path) as site:
+        client = RpcClient(site.control)
+        member = site.control_state().roster.state.members[site.entry.settings.name]
+        sync = calls.Sync(member, 0, 1, 1, False, 0)
+        assert isinstance(await client.call(sync, 5.0), calls.SyncReply)
+        stop, task = site.stops.pop(0)
+        stop.set()
+        await task
+        try:
+            reply = await client.call(sync, 1.0)
+        except (OSError, TimeoutError, StreamTerminatedError):
+            reply = None
+        finally:
+            client.close()
+        assert not isinstance(reply, calls.SyncReply)
