Give a replica's peers a module of their own

Ruled out: nothing. Change: daemons/peers.py; entry_of_fleet is fleet_entry; explain is clean under mypy. Conclusion: moves only.

--- a/src/apricotvale/daemons/control.py
+++ b/src/apricotvale/daemons/control.py
@@ -19,7 +19,8 @@
 from apricotvale.control import commands as c
 from apricotvale.control.configuration import ConfigApplied, ConfigConflict
 from apricotvale.control.state import ControlState
-from apricotvale.daemons.replica import LostLeadership, Replica, fixed_peers
+from apricotvale.daemons.peers import fixed_peers
+from apricotvale.daemons.replica import LostLeadership, Replica
 from apricotvale.daemons.rpc import ControlService, make_server
 from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes, wait_event
 from apricotvale.exceptions import SettingsError
--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -20,7 +20,8 @@
 from apricotvale.daemons.job_runner import SAVE_EVERY_S, JobRunner
 from apricotvale.daemons.link import ControlClient
 from apricotvale.daemons.load_tender import LoadTender
-from apricotvale.daemons.replica import LostLeadership, Peers, Replica
+from apricotvale.daemons.peers import Peers
+from apricotvale.daemons.replica import LostLeadership, Replica
 from apricotvale.daemons.rpc import ControlService, make_server
 from apricotvale.daemons.runtime import TaskGroup, wait_event
 from apricotvale.discovery import RegistryView, Upstream
--- a/src/apricotvale/explanation.py
+++ b/src/apricotvale/explanation.py
@@ -81,10 +81,9 @@
     rewards = [line for line in lines if line.name == events.REWARD_FAILED.name]
     failed = [line for line in lines if line.fields.get("state") == "failed"]
     if rewards and failed:
-        last = rewards[-1].fields
-        return (
-            f"listed as failed: its reward call got {last.get('errors')} answers of {last['why']}"
-        )
+        reward = rewards[-1].fields
+        errors, status = reward.get("errors"), reward.get("why")
+        return f"listed as failed: its reward call got {errors} answers of {status}"
     cuts = [line for line in lines if line.name == events.ITEM_CUT.name]
     listed = [line for line in lines if line.name == events.ITEM_LISTED.name]
     if cuts and not listed:
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from apricotvale import clock, events
-from apricotvale.daemons.entry_of_fleet import FleetEntry
+from apricotvale.daemons.fleet_entry import FleetEntry
 from apricotvale.exceptions import BadInputError
 from apricotvale.fleet import calls
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 
 from apricotvale import events, metrics
-from apricotvale.daemons.entry_of_fleet import FleetEntry
 from apricotvale.daemons.fleet_control import FleetControl
+from apricotvale.daemons.fleet_entry import FleetEntry
 from apricotvale.daemons.runtime import HttpServer, on_reload, run
 from apricotvale.exceptions import ApricotvaleError
 from apricotvale.log_writer import configure_bounded
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -11,8 +11,8 @@
 import aiohttp
 from attrs import define, field
 
-from apricotvale.daemons.entry_of_fleet import FleetEntry
 from apricotvale.daemons.fleet_control import FleetControl
+from apricotvale.daemons.fleet_entry import FleetEntry
 from apricotvale.daemons.runtime import HttpServer
 from apricotvale.platform import names, wire
 from apricotvale.platform.client import PlatformClient
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -18,7 +18,8 @@
 )
 from apricotvale.consensus.types import Timing
 from apricotvale.control.state import ControlState
-from apricotvale.daemons.replica import Replica, fixed_peers
+from apricotvale.daemons.peers import fixed_peers
+from apricotvale.daemons.replica import Replica
 from apricotvale.exceptions import (
     DataFolderError,
     DataFormatError,
