--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -255,6 +255,10 @@
                     return self.failed_answer(route, run, engine, place, stream)
                 if isinstance(stream, Refusal):
                     why = f"{stream.reason}: {stream.detail}"
+                elif not stream.version:
+                    if await self.was_whole(run, stream):
+                        return ItemState.COMPLETED
+                    why = "the engine stated no version"
                 elif stream.version < run.job.min_version:
                     why = f"version {stream.version} is older than {run.job.min_version}"
                     self.note_version(engine, run.job.model, stream.version)
@@ -290,6 +294,17 @@
         )
         return None
 
+    async def was_whole(self, run: ItemRun, stream: RunStream) -> bool:
+        """Return whether a run that goes on behind the last event of a whole text ends at once.
+
+        The end of the run before it was lost. Such a run makes nothing, so it states no version.
+        """
+        if not run.transcript.data:
+            return False
+        chunks = stream.chunks()
+        async with asyncio.timeout(STALL_S):
+            return await anext(chunks, None) is None
+
     async def read_stream(
         self, run: ItemRun, stream: RunStream, place: Place, engine: Upstream
     ) -> bool:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -171,16 +171,18 @@
             case "extra answer":
                 await self.send(writer, 200, good, body)
                 return await self.send(writer, 200, good, b"an answer nobody asked for")
-            case "stream" | "cut stream":
+            case "stream" | "cut stream" | "lost end":
                 return await self.stream(writer, headers, good)
         return False
 
     async def stream(self, writer, headers, good):
         version = next(iter(self.models.values()), 1)
         lines = [f"{name}: {value}" for name, value in good]
-        lines += ["Transfer-Encoding: chunked", f"Weight-Versions: {version}"]
-        writer.write("\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode())
         start = int(headers.get("last-event-id", "-1")) + 1
+        lines.append("Transfer-Encoding: chunked")
+        if start < self.events:
+            lines.append(f"Weight-Versions: {version}")
+        writer.write("\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode())
         for number in range(start, self.events):
             if self.behaviour == "cut stream" and number == start + 2:
                 writer.write(b"9\r\nid: 2\nda")
@@ -189,6 +191,9 @@
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
             await asyncio.sleep(self.event_s)
+        if self.behaviour == "lost end":
+            self.behaviour = "stream"
+            return False
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -199,6 +199,16 @@
     assert resumed
 
 
+async def test_a_text_whose_end_was_lost_is_whole(site):
+    """The run that goes on behind its last event makes nothing and states no version."""
+    for engine in site.engines:
+        engine.behaviour = "lost end"
+    assert await site.submit("j-1", job(item("i-1"))) == 202
+    results = await site.all_results("j-1", 1)
+    assert results["i-1"]["output"] == "e0\ne1\ne2\ne3\ne4"
+    assert results["i-1"]["versions"] == [1]
+
+
 async def test_an_item_that_always_fails_is_listed_as_failed(site):
     for engine in site.engines:
         engine.behaviour = "failing"
