Do not lose a cancellation that meets a call's own timeout

Ruled out: load (the race is in the code, and the new test shows it without load). Change: in_own_task compares the caller's cancellations before and after, and raises the lost one.

--- a/src/apricotvale/daemons/rpc.py
+++ b/src/apricotvale/daemons/rpc.py
@@ -13,7 +13,7 @@
 from grpclib.config import Configuration
 from grpclib.const import Cardinality, Handler
 from grpclib.encoding.base import CodecBase
-from grpclib.exceptions import StreamTerminatedError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server, Stream
 
@@ -107,9 +107,16 @@
     grpclib ends a call at its timeout by cancelling the task that runs it, and does not take the
     cancellation back; in the caller's task that would break `asyncio.timeout` around the call.
     """
+    caller = asyncio.current_task()
+    cancellations = caller.cancelling() if caller else 0
     task = asyncio.ensure_future(call)
     try:
         return await task
+    except (TimeoutError, OSError, GRPCError, ProtocolError, StreamTerminatedError):
+        if caller and caller.cancelling() > cancellations:
+            # The library turned the cancellation into its own timeout, which ran out just then.
+            raise asyncio.CancelledError from None
+        raise
     finally:
         task.cancel()
 
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -14,7 +14,7 @@
 from apricotvale.control import calls
 from apricotvale.control.calls import PeerBatch
 from apricotvale.daemons.link import ControlClient
-from apricotvale.daemons.rpc import ControlService, RpcClient, make_server
+from apricotvale.daemons.rpc import ControlService, RpcClient, in_own_task, make_server
 from apricotvale.outcomes import Ran, Reason
 from tests.site import free_address
 
@@ -97,3 +97,17 @@
     await asyncio.sleep(0.05)
     assert opened == ended
     server.close()
+
+
+async def test_a_cancellation_that_meets_the_calls_own_timeout_is_not_lost():
+    async def call():
+        try:
+            await asyncio.sleep(10)
+        except asyncio.CancelledError:
+            raise TimeoutError from None
+
+    task = asyncio.create_task(in_own_task(call()))
+    await asyncio.sleep(0.01)
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
