Forget what a leader knew about a replica that left the group

Cause: the leader kept its record of a removed follower. Two consequences: entries that wait for a removed follower counted as unsent for ever, so each event sent a round of messages to the others, whose answers were the next events; and a learner that came back under the same data folder was dropped at once, as one that was silent for long, and taken in again 1.2 s later. Ruled out: heartbeats, which stay at their period; a dead follower that is still a member, whose entries count as sent. Change: a change of the group drops the records of replicas that are not in it. The harness of the tests lets no request to join through a cut.

--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -640,6 +640,10 @@
     def change_group(self, group: Group, now: float) -> None:
         """Append a new group; it is in force at once."""
         self.add(EntryKind.GROUP, self.encode_group(group), self.log.last_at_ms)
+        # What was known about a replica that leaves says nothing if it comes again, and entries
+        # that wait for nobody would be sent to the others without end.
+        members = {member.data_id for member in group.members}
+        self.progress = {key: peer for key, peer in self.progress.items() if key in members}
         self.broadcast(now)
 
     # -- the owner's side
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -235,7 +235,9 @@
         alone = host.node.role is not Role.LEADER and self.now > host.node.leader_heard_at + 1.0
         if empty or (self.policy is not None and alone):
             for peer in self.hosts.values():
-                if peer is not host and peer.node and peer.node.role is Role.LEADER:
+                if peer is host or self.is_cut(host.name, peer.name):
+                    continue
+                if peer.node and peer.node.role is Role.LEADER:
                     join = JoinRequest(host.node.data_id, "", host.name, host.name)
                     peer.inbox.append(join)
         inbox, host.inbox = host.inbox, []
--- a/tests/test_open_group.py
+++ b/tests/test_open_group.py
@@ -140,3 +140,32 @@
     group = Replicas(names=("a", "b", "c"))
     assert group.run_until(lambda: group.leader() is not None)
     assert not group.leader().node.takes_in("d")
+
+
+def quiet_messages(group, seconds):
+    """Return how many messages go round while nobody asks for anything."""
+    before = group.sequence
+    group.run(seconds)
+    return group.sequence - before
+
+
+def test_a_leader_that_let_a_replica_go_sends_only_heartbeats(group):
+    lost = other_voters(group)[0]
+    group.crash(lost, down_s=1000.0)
+    assert group.run_until(lambda: settled(group, {"a", "b", "c", "d"} - {lost.name}))
+    publish(group, 1)
+    seconds = 4.0
+    heartbeats = seconds / group.leader().node.timing.heartbeat_s
+    followers = 2
+    assert quiet_messages(group, seconds) <= heartbeats * followers * 2 + 8
+
+
+def test_a_learner_that_comes_back_keeps_its_place(group):
+    spare = group.hosts["d"]
+    group.cut["d"] = group.now + 5.0
+    assert group.run_until(lambda: not members(group, voter=False))
+    assert group.run_until(lambda: members(group, voter=False) == {"d"})
+    entry = group.leader().node.groups[-1][0]
+    group.run(2.0)
+    assert group.leader().node.groups[-1][0] == entry
+    assert spare.node.group.find(spare.node.data_id)
