End a daemon when a part that it needs has failed

A control daemon waited for its replica's task only; when its duties, its saving of progress or its way into the group ended by an error, the error was logged and the process went on: it led without placing items, or stayed out of the group for good. After the replica's own task had failed, the hand-over waited for an answer that never came. Ruled out: catching and repeating in each part, which would hide the error and keep whatever state it left; a process that starts again recovers through paths that are tested. Change: `until_stopped` in the shared runtime waits for the signal or for any needed task, in all daemons, in place of three copies; a replica that has ended refuses whoever waits.

--- a/src/apricotvale/daemons/control.py
+++ b/src/apricotvale/daemons/control.py
@@ -22,7 +22,13 @@
 from apricotvale.daemons.peers import fixed_peers
 from apricotvale.daemons.replica import LostLeadership, Replica
 from apricotvale.daemons.rpc import ControlService, make_server
-from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes, wait_event
+from apricotvale.daemons.runtime import (
+    HttpServer,
+    TaskGroup,
+    health_routes,
+    until_stopped,
+    wait_event,
+)
 from apricotvale.exceptions import SettingsError
 from apricotvale.hashing import hash64
 from apricotvale.membership.roster import Departure, Kind, Member
@@ -70,17 +76,13 @@
         host, _, port = self.settings.listen.rpartition(":")
         await server.start(host, int(port))
         async with TaskGroup() as tasks:
-            replica_task = tasks.start(self.replica.run())
-            tasks.start(self.duties())
+            needed = [tasks.start(part) for part in (self.replica.run(), self.duties())]
             if self.settings.health:
                 app = web.Application()
                 app.add_routes(health_routes(self.is_ready))
                 await HttpServer(app, self.settings.health).__aenter__()
             events.emit(events.STARTED, listen=self.settings.listen)
-            stopped = asyncio.create_task(stop.wait())
-            await asyncio.wait({stopped, replica_task}, return_when=asyncio.FIRST_COMPLETED)
-            stopped.cancel()
-            events.emit(events.STOPPING)
+            await until_stopped(stop, *needed)
             await self.hand_over()
             server.close()
             self.changed.set()
--- a/src/apricotvale/daemons/entry.py
+++ b/src/apricotvale/daemons/entry.py
@@ -20,7 +20,13 @@
 from apricotvale.daemons.claiming import Claimant
 from apricotvale.daemons.dispatch import Dispatcher, Sent
 from apricotvale.daemons.link import ControlClient, ControlLink
-from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes, wait_event
+from apricotvale.daemons.runtime import (
+    HttpServer,
+    TaskGroup,
+    health_routes,
+    until_stopped,
+    wait_event,
+)
 from apricotvale.daemons.steps import StepRunner
 from apricotvale.daemons.streams import STREAM_END
 from apricotvale.daemons.trainers import trainer_routes
@@ -92,9 +98,7 @@
         ):
             events.emit(events.STARTED, listen=self.settings.listen)
             sync_task = self.tasks.start(self.link.run())
-            self.tasks.start(self.upstreams.watch())
-            await stop.wait()
-            events.emit(events.STOPPING)
+            await until_stopped(stop, sync_task, self.tasks.start(self.upstreams.watch()))
             self.draining = True
             sync_task.cancel()
             await self.link.leave()
--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -23,7 +23,7 @@
 from apricotvale.daemons.peers import Peers
 from apricotvale.daemons.replica import LostLeadership, Replica
 from apricotvale.daemons.rpc import ControlService, make_server
-from apricotvale.daemons.runtime import TaskGroup, wait_event
+from apricotvale.daemons.runtime import TaskGroup, until_stopped, wait_event
 from apricotvale.discovery import RegistryView, Upstream
 from apricotvale.exceptions import ApricotvaleError
 from apricotvale.fleet import calls
@@ -117,14 +117,10 @@
         server = make_server(service)
         await server.start(self.settings.ip, self.settings.internal_port)
         async with TaskGroup() as tasks, self.runner.tasks, self.tender.tasks:
-            replica_task = tasks.start(self.replica.run())
-            tasks.start(self.duties())
-            tasks.start(self.save_progress())
+            work = (self.replica.run(), self.duties(), self.save_progress())
+            needed = [tasks.start(part) for part in work]
             events.emit(events.STARTED, listen=self.settings.internal_address)
-            stopped = asyncio.create_task(stop.wait())
-            await asyncio.wait({stopped, replica_task}, return_when=asyncio.FIRST_COMPLETED)
-            stopped.cancel()
-            events.emit(events.STOPPING)
+            await until_stopped(stop, *needed)
             await self.hand_over()
             server.close()
         self.peers.close()
--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -11,7 +11,7 @@
 from apricotvale.daemons.fleet_link import FleetLink
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.link import ATTEMPT_S
-from apricotvale.daemons.runtime import TaskGroup, wait_event
+from apricotvale.daemons.runtime import TaskGroup, until_stopped, wait_event
 from apricotvale.outcomes import Reason, Refusal, not_run
 from apricotvale.requests.calls import Answer, Call, UpstreamClient
 from apricotvale.routes import Route, RouteTable
@@ -115,9 +115,7 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Watch control until told to stop, then serve on until the balancer has noticed."""
         async with TaskGroup() as tasks:
-            tasks.start(self.link.run())
-            await stop.wait()
-            events.emit(events.STOPPING, active=self.active)
+            await until_stopped(stop, tasks.start(self.link.run()))
             self.stopping = True
             await asyncio.sleep(ROTATION_S)
 
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -116,6 +116,7 @@
         self.applied_bytes = 0
         self.applied_entries = 0
         self.tasks = TaskGroup()
+        self.ended = False
         self.seen_group = Group()
         self.seen_role: tuple[Role, int, str] = (Role.FOLLOWER, 0, "")
         self.node = self.make_node(storage.stored)
@@ -134,7 +135,7 @@
     @property
     def leads(self) -> bool:
         """Return whether this replica leads, after letting time pass."""
-        if self.storage.failed is not None:
+        if self.ended or self.storage.failed is not None:
             return False
         self.node.tick(clock.now())
         return self.node.role is Role.LEADER
@@ -200,19 +201,30 @@
         """Queue an event for the task."""
         self.events.append(event)
         self.wake.set()
+        if self.ended:
+            self.refuse_waiting()
 
     # -- the task
 
     async def run(self) -> None:
-        """Drive the node until cancelled, or until the disk fails."""
+        """Drive the node until cancelled or until a part of the work fails."""
         async with self.tasks:
-            self.tasks.start(self.enter_group())
+            parts = {self.tasks.start(self.drive()), self.tasks.start(self.enter_group())}
             try:
-                await self.loop()
-            except DiskError as error:
-                events.emit(events.DISK_FAILED, detail=str(error), code=error.code)
-                self.fail_waiters()
-                await self.refuse_all()
+                done, _ = await asyncio.wait(parts, return_when=asyncio.FIRST_EXCEPTION)
+                for part in done:
+                    part.result()
+            finally:
+                self.ended = True
+                self.refuse_waiting()
+
+    async def drive(self) -> None:
+        """Handle events, or refuse them once the disk failed."""
+        try:
+            await self.loop()
+        except DiskError as error:
+            events.emit(events.DISK_FAILED, detail=str(error), code=error.code)
+            await self.refuse_all()
 
     async def loop(self) -> None:
         """Handle events and the passing of time."""
@@ -240,14 +252,19 @@
     async def refuse_all(self) -> None:
         """Answer every call as one who does not lead, after the disk failed."""
         while True:
+            self.refuse_waiting()
             await self.wake.wait()
             self.wake.clear()
-            while self.events:
-                event = self.events.popleft()
-                if isinstance(event, ProposeEvent):
-                    event.future.set_result(NotLeader())
-                elif isinstance(event, ReadEvent | TransferEvent):
-                    event.future.set_result(False)
+
+    def refuse_waiting(self) -> None:
+        """Answer all who wait as one who does not lead."""
+        self.fail_waiters()
+        while self.events:
+            event = self.events.popleft()
+            if isinstance(event, ProposeEvent):
+                resolve(event.future, NotLeader())
+            elif isinstance(event, ReadEvent | TransferEvent):
+                resolve(event.future, False)
 
     def handle(self, event: Any, now: float) -> None:
         """Hand one event to the node."""
--- a/src/apricotvale/daemons/runtime.py
+++ b/src/apricotvale/daemons/runtime.py
@@ -45,6 +45,20 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def until_stopped(stop: asyncio.Event, *needed: asyncio.Task[Any]) -> None:
+    """Wait until told to stop, or until a task that the daemon cannot do without has ended.
+
+    A daemon that went on without it would look alive and leave a part of its work undone.
+
+    :param stop: set when the process is to end.
+    :param needed: tasks that run as long as the daemon does.
+    """
+    stopped = asyncio.create_task(stop.wait())
+    await asyncio.wait({stopped, *needed}, return_when=asyncio.FIRST_COMPLETED)
+    stopped.cancel()
+    events.emit(events.STOPPING, told=stop.is_set())
+
+
 class HttpServer:
     """An aiohttp application on one address, as a context manager."""
 
--- a/src/apricotvale/daemons/sidecar.py
+++ b/src/apricotvale/daemons/sidecar.py
@@ -17,7 +17,13 @@
 from apricotvale.daemons.gate import Gate
 from apricotvale.daemons.link import ControlLink
 from apricotvale.daemons.orders import OrderRunner
-from apricotvale.daemons.runtime import HttpServer, TaskGroup, health_routes, wait_event
+from apricotvale.daemons.runtime import (
+    HttpServer,
+    TaskGroup,
+    health_routes,
+    until_stopped,
+    wait_event,
+)
 from apricotvale.daemons.streams import (
     SAMPLE_COALESCE_S,
     STREAM_END,
@@ -89,9 +95,8 @@
             events.emit(events.STARTED, listen=self.settings.listen)
             await self.poll_upstream()
             sync_task = tasks.start(self.link.run())
-            tasks.start(self.watch_upstream())
-            tasks.start(self.orders.run())
-            await stop.wait()
+            watching = tasks.start(self.watch_upstream())
+            await until_stopped(stop, sync_task, watching, tasks.start(self.orders.run()))
             await self.drain()
             sync_task.cancel()
             await self.link.leave()
@@ -101,7 +106,6 @@
 
     async def drain(self) -> None:
         """Refuse new work, say so, and finish what runs within the drain deadline."""
-        events.emit(events.STOPPING)
         self.draining = True
         self.gate.draining = True
         self.link.poke()
