Move the decisions about a group's members out of the consensus node

Ruled out: a second class with a reference to the node, which would share all of its state. Change: consensus/membership.py holds plain functions over a frozen view of what the leader knows; the node asks for the next group and appends it. No behaviour changes.

--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -11,6 +11,7 @@
 
 from attrs import evolve
 
+from apricotvale.consensus import membership
 from apricotvale.consensus.log import Log
 from apricotvale.consensus.messages import (
     AppendReply,
@@ -19,7 +20,6 @@
     Entry,
     EntryKind,
     Group,
-    GroupMember,
     HardState,
     InstallRequest,
     JoinRequest,
@@ -32,7 +32,6 @@
 from apricotvale.consensus.types import GroupPolicy, NotLeader, Progress, Ready, Role, Timing
 
 MAX_APPEND_BYTES = 512 * 1024
-LEARNER_LAG_ENTRIES = 64
 ELECTION_LEAST = 1.1
 ELECTION_SPREAD = 0.5
 RETRY_LEAST = 0.1
@@ -526,38 +525,10 @@
 
     def on_join_request(self, request: JoinRequest, now: float) -> None:
         """Add a replica with a new data folder as a learner, or note its new address."""
-        if not self.may_change_group():
-            return
-        known = self.group.find(request.source)
-        if known is not None:
-            if known.address != request.address:
-                moved = evolve(known, address=request.address)
-                self.replace_members({known: moved}, now)
-            return
-        if not self.takes_in(request.name):
-            return
-        kept = (m for m in self.group.members if m.voter or m.name != request.name)
-        learner = GroupMember(request.name, request.source, request.address, voter=False)
-        self.change_group(Group((*kept, learner)), now)
-
-    def takes_in(self, name: str) -> bool:
-        """Return whether a replica of this name has a place in the group.
-
-        A table of fixed names takes only those; an open group takes its predecessors' names, and
-        others up to the wanted number of learners.
-        """
-        if any(member.name == name for member in self.group.members):
-            return True
-        if not self.policy.open:
-            return False
-        learners = sum(not member.voter for member in self.group.members)
-        missing = max(0, self.policy.voters - len(self.group.voters()))
-        return name not in self.retiring and learners < self.policy.learners + missing
-
-    def replace_members(self, changed: dict[GroupMember, GroupMember], now: float) -> None:
-        """Append a group in which some members are changed."""
-        members = tuple(changed.get(member, member) for member in self.group.members)
-        self.change_group(Group(members), now)
+        if self.may_change_group():
+            group = membership.group_with(request, self.standing(now))
+            if group is not None:
+                self.change_group(group, now)
 
     def may_change_group(self) -> bool:
         """Return whether a change may start: only a leader with no change or term open."""
@@ -569,73 +540,23 @@
 
     def tend_group(self, now: float) -> None:
         """Change the group by one member where it should change."""
-        if not self.may_change_group():
-            return
-        learner = self.next_voter(now)
-        if learner is not None:
-            gone = self.voter_to_replace(learner, now)
-            if gone is not None:
-                self.remove_member(gone, now)
-                return
-            if self.is_wanted(learner):
-                self.replace_members({learner: evolve(learner, voter=True)}, now)
-                return
-        if self.policy.open:
-            self.drop_learner(now)
-
-    def next_voter(self, now: float) -> GroupMember | None:
-        """Return a learner that may become a voter: a successor of a voter's name comes first."""
-        names = {member.name for member in self.group.members if member.voter}
-        ready = [
-            member
-            for member in self.group.members
-            if not member.voter and member.name not in self.retiring and self.caught_up(member, now)
-        ]
-        ready.sort(key=lambda member: member.name not in names)
-        return ready[0] if ready else None
-
-    def voter_to_replace(self, learner: GroupMember, now: float) -> GroupMember | None:
-        """Return the voter whose place a learner takes: its predecessor, or one that is lost."""
-        others = [m for m in self.group.members if m.voter and m.data_id != self.data_id]
-        for voter in others:
-            if voter.name == learner.name:
-                return voter
-        if not self.policy.open or len(self.group.voters()) < self.policy.voters:
-            return None
-        for voter in others:
-            if voter.name in self.retiring or self.is_silent(voter, now):
-                return voter
-        return None
-
-    def is_wanted(self, learner: GroupMember) -> bool:
-        """Return whether a learner is to become a voter now."""
-        if any(m.voter and m.name == learner.name for m in self.group.members):
-            return False
-        return not self.policy.open or len(self.group.voters()) < self.policy.voters
-
-    def drop_learner(self, now: float) -> None:
-        """Remove a learner that is retiring or was silent for long."""
-        for member in self.group.members:
-            if not member.voter and (member.name in self.retiring or self.is_silent(member, now)):
-                self.remove_member(member, now)
-                return
-
-    def is_silent(self, member: GroupMember, now: float) -> bool:
-        """Return whether a member was not heard for so long that another takes its place."""
-        peer = self.progress.get(member.data_id)
-        return peer is not None and peer.heard_at < now - self.policy.replace_after_s
-
-    def remove_member(self, gone: GroupMember, now: float) -> None:
-        """Append a group without a member."""
-        self.change_group(Group(tuple(m for m in self.group.members if m != gone)), now)
-
-    def caught_up(self, learner: GroupMember, now: float) -> bool:
-        """Return whether a learner holds nearly the whole log and answers."""
-        peer = self.progress.get(learner.data_id)
-        if peer is None or not peer.match_index:
-            return False
-        heard = peer.heard_at >= now - self.timing.election_s
-        return heard and peer.match_index + LEARNER_LAG_ENTRIES >= self.log.last_index
+        if self.may_change_group():
+            group = membership.next_change(self.standing(now))
+            if group is not None:
+                self.change_group(group, now)
+
+    def standing(self, now: float) -> membership.Standing:
+        """Return what this leader knows about its group."""
+        return membership.Standing(
+            self.data_id,
+            self.group,
+            self.policy,
+            self.progress,
+            self.retiring,
+            self.log.last_index,
+            now - self.timing.election_s,
+            now,
+        )
 
     def change_group(self, group: Group, now: float) -> None:
         """Append a new group; it is in force at once."""
--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -12,6 +12,7 @@
 from apricotvale import clock, events, metrics
 from apricotvale.codec import encode
 from apricotvale.consensus.disk import FolderDisk
+from apricotvale.consensus.membership import is_silent
 from apricotvale.consensus.storage import Storage
 from apricotvale.consensus.types import GroupPolicy, NotLeader, Timing
 from apricotvale.control.calls import JoinProbe, Redirect, Unconfirmed
@@ -285,13 +286,13 @@
             return calls.Accepted()
         if not any(member.name == name for member in members):
             return calls.NotFound()
-        now = clock.now()
+        standing = self.replica.node.standing(clock.now())
         staying = [
             member
             for member in members
             if member.name not in self.state.retiring
             and member.name != name
-            and not self.replica.node.is_silent(member, now)
+            and not is_silent(member, standing)
         ]
         if len(staying) < self.replica.peers.policy.voters:
             return calls.TooFewLeft()
--- a/tests/test_open_group.py
+++ b/tests/test_open_group.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from apricotvale.consensus.membership import has_place
 from apricotvale.consensus.messages import HardState, Snapshot
 from apricotvale.consensus.storage import Storage
 from apricotvale.consensus.types import GroupPolicy
@@ -139,7 +140,7 @@
 def test_a_closed_group_takes_in_nobody():
     group = Replicas(names=("a", "b", "c"))
     assert group.run_until(lambda: group.leader() is not None)
-    assert not group.leader().node.takes_in("d")
+    assert not has_place("d", group.leader().node.standing(group.now))
 
 
 def quiet_messages(group, seconds):
