--- a/tests/operations.py
+++ b/tests/operations.py
@@ -4,6 +4,8 @@
 
 import itertools
 
+from apricotvale.consensus.messages import Group, HardState, Snapshot
+from apricotvale.consensus.types import GroupPolicy
 from apricotvale.control import commands as c
 from apricotvale.control.configuration import ConfigApplied, ConfigConflict, ConfigDocument
 from tests.replicas import SEND_FAULTS, WRITE_FAULTS, Injector, Replicas
@@ -12,6 +14,9 @@
 LONG_TEXT = 4000
 HEARTBEATS = ("heartbeat", "heartbeat reply")
 HEARTBEATS_KEPT = 6
+OPEN_POLICY = GroupPolicy(open=True, voters=3, learners=1, replace_after_s=1.5)
+# Each change of leader, which two faults can cause twice, begins the wait for the silent one anew.
+AWAY_S = 12.0
 
 
 def start(injector, seed=0):
@@ -21,6 +26,34 @@
     return group
 
 
+def open_group(seed=0, injector=None):
+    """Return an open group of three voters, in which an empty spare replica is the learner."""
+    group = Replicas(("a", "b", "c", "d"), seed=seed, injector=injector, policy=OPEN_POLICY)
+    members = group.hosts["a"].storage.stored.snapshot.group.members
+    founding = Snapshot(1, 1, 0, Group(tuple(m for m in members if m.name != "d")), b"")
+    for name in "abc":
+        host = group.hosts[name]
+        host.storage.save_snapshot(founding, HardState(1), [])
+        group.boot(host)
+    group.wipe(group.hosts["d"])
+    assert group.run_until(lambda: is_whole(group))
+    return group
+
+
+def is_whole(group):
+    """Return whether an open group has its members, all known to its leader's majority."""
+    leader = group.leader()
+    if leader is None:
+        return False
+    members = leader.node.group.members
+    ids = {host.node.data_id for host in group.hosts.values() if host.node}
+    return (
+        sum(member.voter for member in members) == OPEN_POLICY.voters
+        and {member.data_id for member in members} == ids
+        and leader.node.commit_index >= leader.node.groups[-1][0]
+    )
+
+
 def apply_config(operation, expected, text):
     return c.ApplyConfig(operation, expected, ConfigDocument(text))
 
@@ -114,6 +147,56 @@
     check_states(group, revision=2, text="second")
 
 
+def open_group_wipe(injector):
+    """A voter of an open group loses its disk: the spare takes its place, it becomes the spare."""
+    group = open_group(injector=injector)
+    first = group.call(apply_config("first", 0, "first"))
+    assert group.run_until(lambda: first.result is not None)
+    wiped = next(host for host in voters(group) if host is not group.leader())
+    old_id = wiped.node.data_id
+    injector.armed = True
+    group.wipe(wiped)
+    assert group.run_until(lambda: wiped.node and is_whole(group)), "the group is not whole again"
+    injector.armed = False
+    assert not group.leader().node.group.find(old_id), "the lost folder kept its place"
+    finish_open_group(group)
+
+
+def open_group_silence(injector):
+    """A voter of an open group is away for long: the spare takes its place."""
+    group = open_group(injector=injector)
+    first = group.call(apply_config("first", 0, "first"))
+    assert group.run_until(lambda: first.result is not None)
+    away = next(host for host in voters(group) if host is not group.leader())
+    old_id = away.node.data_id
+    injector.armed = True
+    group.crash(away, down_s=AWAY_S)
+    replaced = group.run_until(
+        lambda: group.leader() and old_id not in group.leader().node.group.voters(), AWAY_S
+    )
+    assert replaced, "a voter that is away kept its place"
+    assert group.run_until(lambda: is_whole(group)), "the group is not whole again"
+    injector.armed = False
+    finish_open_group(group)
+
+
+def voters(group):
+    """Return the hosts that have a vote."""
+    ids = group.leader().node.group.voters()
+    return [host for host in group.hosts.values() if host.node and host.node.data_id in ids]
+
+
+def finish_open_group(group):
+    """Check that a group that is whole again bears the loss of another voter."""
+    assert group.run_until(lambda: is_whole(group) and group.agree()), "the replicas do not agree"
+    other = next(host for host in voters(group) if host is not group.leader())
+    group.crash(other, down_s=1.0)
+    second = group.call(apply_config("second", 1, "second"))
+    assert group.run_until(lambda: second.result is not None), "no quorum after the repair"
+    assert group.run_until(lambda: is_whole(group) and group.agree()), "the replicas do not agree"
+    check_states(group, revision=2, text="second")
+
+
 def check_states(group, revision, text):
     states = group.states()
     assert all(state == states[0] for state in states), "the replicas' states differ"
@@ -127,6 +210,8 @@
     "election": election,
     "snapshot install": snapshot_install,
     "group change": group_change,
+    "open group, disk lost": open_group_wipe,
+    "open group, replica away": open_group_silence,
 }
 
 
--- a/tests/test_consensus_faults.py
+++ b/tests/test_consensus_faults.py
@@ -28,7 +28,10 @@
     assert not broken
 
 
-@pytest.mark.parametrize("name", ["config race", "election"])
+PAIRED = ["config race", "election", "open group, disk lost", "open group, replica away"]
+
+
+@pytest.mark.parametrize("name", PAIRED)
 def test_operation_holds_under_pairs_of_faults(name):
     pairs = [
         pair for pair in itertools.combinations(single_faults(name), 2) if pair[0][0] != pair[1][0]
--- a/tests/test_open_group.py
+++ b/tests/test_open_group.py
@@ -5,32 +5,15 @@
 import pytest
 
 from apricotvale.consensus.membership import has_place
-from apricotvale.consensus.messages import HardState, Snapshot
-from apricotvale.consensus.storage import Storage
-from apricotvale.consensus.types import GroupPolicy
 from apricotvale.control import commands as c
-from tests.replicas import MemoryDisk, Replicas
-
-POLICY = GroupPolicy(open=True, voters=3, learners=1, replace_after_s=1.5)
+from tests.operations import open_group
+from tests.replicas import Replicas
 
 
 @pytest.fixture(params=range(4))
 def group(request):
     """Return three voters and an empty spare replica, which has joined as a learner."""
-    group = Replicas(names=("a", "b", "c", "d"), seed=request.param, policy=POLICY)
-    spare = group.hosts["d"]
-    first = group.hosts["a"].storage.stored.snapshot
-    kept = first.group.members[:3]
-    for name in "abc":
-        host = group.hosts[name]
-        founding = Snapshot(1, 1, 0, type(first.group)(kept), b"")
-        host.storage.save_snapshot(founding, HardState(1), [])
-        group.boot(host)
-    spare.disk = MemoryDisk()
-    spare.storage = Storage(spare.disk, "d")
-    group.boot(spare)
-    assert group.run_until(lambda: "d" in members(group, voter=False))
-    return group
+    return open_group(request.param)
 
 
 def members(group, voter):
