Keep to the table's limits at the entry, and leave encoded bodies as they are

The table's limits were parsed and then used by nobody: bodies up to 64 MiB and any header fields that the HTTP library bears were served. Header fields over 8 KiB were rejected though the table allows 16. A body with Content-Encoding was decoded on its way in and sent on with the field still there. A table without one of the limits got a descriptor of the class in place of a number. Ruled out: the rejection of conflicting lengths, bad chunking, unknown codings and malformed fields: all ten got a 4xx before any change, and nothing reached an upstream. Change: bodies are read up to the limit in force (413) and header fields counted (431), each with an `input-rejected` line; the parser bears 64 KiB of fields; the entry's server decodes nothing.

--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -14,7 +14,7 @@
 from apricotvale.daemons.runtime import TaskGroup, until_stopped, wait_event
 from apricotvale.outcomes import Reason, Refusal, not_run
 from apricotvale.requests.calls import Answer, Call, UpstreamClient
-from apricotvale.routes import Route, RouteTable
+from apricotvale.routes import Limits, Route, RouteTable
 from apricotvale.settings.fleet import FleetSettings
 
 NOT_READY_RETRY_S = 0.5
@@ -50,6 +50,11 @@
         """Return whether a table is in force and the entry is not leaving."""
         return self.link.table is not None and not self.stopping
 
+    @property
+    def limits(self) -> Limits:
+        """Return what callers may send."""
+        return self.link.table.limits if self.link.table else Limits()
+
     def take_settings(self, settings: FleetSettings) -> None:
         """Take settings that were read again; only the contacts change while the entry runs."""
         self.link.take_contacts(settings.contact_addresses())
--- a/src/apricotvale/daemons/runtime.py
+++ b/src/apricotvale/daemons/runtime.py
@@ -13,6 +13,8 @@
 from apricotvale import events
 
 KEEPALIVE_S = 30.0
+# What the HTTP parser bears, in bytes; the limits in force are smaller and are checked above it.
+MAX_HEADER_BYTES = 65_536
 SHUTDOWN_S = 1.0
 
 
@@ -60,9 +62,12 @@
 
 
 class HttpServer:
-    """An aiohttp application on one address, as a context manager."""
+    """An aiohttp application on one address, as a context manager.
 
-    def __init__(self, app: web.Application, address: str) -> None:
+    :param decode_bodies: whether encoded bodies are decoded; one who forwards them must not.
+    """
+
+    def __init__(self, app: web.Application, address: str, decode_bodies: bool = True) -> None:
         self.address = address
         self.runner = web.AppRunner(
             app,
@@ -70,6 +75,9 @@
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_S,
             shutdown_timeout=SHUTDOWN_S,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            auto_decompress=decode_bodies,
         )
         self.site: web.TCPSite | None = None
 
--- a/src/apricotvale/outcomes.py
+++ b/src/apricotvale/outcomes.py
@@ -20,6 +20,7 @@
 
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_ROUTE = "unknown_route"
@@ -47,6 +48,7 @@
 STATUS_BY_REASON = {
     Reason.BAD_REQUEST: 400,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.HEADERS_TOO_LARGE: 431,
     Reason.UNKNOWN_MODEL: 404,
     Reason.UNKNOWN_SERVICE: 404,
     Reason.UNKNOWN_ROUTE: 404,
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -13,12 +13,13 @@
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run
 from apricotvale.platform import names, wire
 from apricotvale.requests.calls import Answer, Call
-from apricotvale.routes import Route, RouteKind
+from apricotvale.routes import Limits, Route, RouteKind
 
 STATUS_BY_REASON = {
     Reason.UNKNOWN_ROUTE: 404,
     Reason.BAD_REQUEST: 400,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.HEADERS_TOO_LARGE: 431,
 }
 # Status of failures that promise nothing.
 LOST_STATUS = 502
@@ -34,7 +35,7 @@
 
     def make_app(self) -> web.Application:
         """Return the application on the callers' address."""
-        app = web.Application(client_max_size=64 * 1024 * 1024)
+        app = web.Application()
         app.router.add_get(names.RESULTS_PATH, self.on_results)
         app.router.add_delete(names.RESULTS_PATH, self.on_end_job)
         app.router.add_get(names.ITEM_PATH, self.on_item)
@@ -69,10 +70,10 @@
             route = self.entry.match(request.host, request.raw_path.partition("?")[0])
             if isinstance(route, Refusal):
                 return refusal_response(route, request_id)
-            try:
-                body = await request.read()
-            except web.HTTPRequestEntityTooLarge:
-                return refusal_response(not_run(Reason.BODY_TOO_LARGE), request_id)
+            body = await read_within(request, self.entry.limits)
+            if isinstance(body, Refusal):
+                events.emit(events.INPUT_REJECTED, request=request_id, error=body.detail)
+                return refusal_response(body, request_id)
             if route.kind is RouteKind.JOB:
                 return await self.submit(request, request_id, body)
             call = Call(
@@ -139,6 +140,24 @@
         return read_failure(reply, job_id)
 
 
+async def read_within(request: web.Request, limits: Limits) -> bytes | Refusal:
+    """Return a request's body, or why it is larger than callers may send."""
+    header_bytes = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
+    if header_bytes > limits.max_header_bytes:
+        detail = f"{header_bytes} bytes of header fields, at most {limits.max_header_bytes}"
+        return not_run(Reason.HEADERS_TOO_LARGE, detail)
+    most = limits.max_body_bytes
+    if (request.content_length or 0) > most:
+        detail = f"a body of {request.content_length} bytes, at most {most}"
+        return not_run(Reason.BODY_TOO_LARGE, detail)
+    body = bytearray()
+    async for piece in request.content.iter_any():
+        body += piece
+        if len(body) > most:
+            return not_run(Reason.BODY_TOO_LARGE, f"a body over {most} bytes")
+    return bytes(body)
+
+
 def deadline_of(request: web.Request, route: Route, arrived: float) -> float:
     """Return when a request is answered at the latest: by its caller or its route."""
     left_ms = parse_count(request.headers.get(names.DEADLINE_MS, ""))
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -35,7 +35,7 @@
         readiness = HttpServer(interface.make_readiness_app(), settings.readiness)
         await stack.enter_async_context(readiness)
         server = await stack.enter_async_context(
-            HttpServer(interface.make_app(), settings.requests)
+            HttpServer(interface.make_app(), settings.requests, decode_bodies=False)
         )
         events.emit(events.STARTED, listen=settings.requests)
         on_reload(lambda: reload(entry.take_settings))
--- a/src/apricotvale/platform/wire.py
+++ b/src/apricotvale/platform/wire.py
@@ -68,15 +68,15 @@
     document = read_json(body)
     routes = tuple(parse_route(entry) for entry in typed(document, "routes", list))
     services = [parse_service(entry) for entry in typed(document, "services", list)]
-    limits = typed(document, "limits", dict, {})
+    limits, usual = typed(document, "limits", dict, {}), Limits()
     table = RouteTable(
         typed(document, "version", int),
         routes,
         {service.name: service for service in services},
         Limits(
-            typed(limits, "max_header_bytes", int, Limits.max_header_bytes),
-            typed(limits, "max_body_bytes", int, Limits.max_body_bytes),
-            typed(limits, "idle_timeout_ms", float, Limits.idle_timeout_ms),
+            typed(limits, "max_header_bytes", int, usual.max_header_bytes),
+            typed(limits, "max_body_bytes", int, usual.max_body_bytes),
+            typed(limits, "idle_timeout_ms", float, usual.idle_timeout_ms),
         ),
     )
     problems = check_table(table)
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -146,7 +146,9 @@
         client = await self.stack.enter_async_context(PlatformClient())
         self.entry = FleetEntry(settings, client, wire.parse_table)
         interface = RequestInterface(self.entry)
-        await self.stack.enter_async_context(HttpServer(interface.make_app(), address))
+        await self.stack.enter_async_context(
+            HttpServer(interface.make_app(), address, decode_bodies=False)
+        )
         await self.stack.enter_async_context(HttpServer(interface.make_readiness_app(), ready))
         self.url, self.readiness = f"http://{address}", f"http://{ready}{names.READY_PATH}"
         self.tasks.append(asyncio.create_task(self.entry.run(asyncio.Event())))
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -8,14 +8,19 @@
 # take a port between its choice here and the server's start.
 LEAST_PORT = 20_000
 PORTS = 12_000
+# A port is given once: its server may not have started when the next one is chosen.
+given = set()
 
 
 def free_port(host="127.0.0.1"):
     """Return a port that nobody listens on."""
     while True:
         port = LEAST_PORT + random.randrange(PORTS)
+        if port in given:
+            continue
         with suppress(OSError), socket.socket() as probe:
             probe.bind((host, port))
+            given.add(port)
             return port
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -12,7 +12,7 @@
 from apricotvale.fleet import calls
 from apricotvale.jobs import ItemState, Result
 from apricotvale.platform import wire
-from apricotvale.routes import RouteKind
+from apricotvale.routes import Limits, RouteKind
 from apricotvale.weights.orders import LoadMode, LoadOrder
 
 TABLE = {
@@ -201,3 +201,11 @@
         body({"models": BEAT["models"], "busy": False, "sequence": 2, "waiting": 1})
     )
     assert (report.orders, report.busy, report.models) == (2, False, {"m0": 3})
+
+
+def test_a_table_without_limits_has_the_usual_ones():
+    document = {"version": 1, "routes": [], "services": [], "limits": {"max_body_bytes": 7}}
+    limits = wire.parse_table(json.dumps(document).encode()).limits
+    assert limits == Limits(max_body_bytes=7)
+    del document["limits"]
+    assert wire.parse_table(json.dumps(document).encode()).limits == Limits()
