Put the fleet's jobs, results, tables and heartbeats under the fault matrix

Cause: the matrix covered the product's configuration and the group; the fleet's state machine had tests of its aggregates only. Change: one operation with seven commands in flight at once (two results for one item, two tables, two heartbeats out of order), a job sent again, every fault at every step and 150 pairs; the harness takes the state machine as a parameter. Two seeded bugs are found.

--- a/tests/operations.py
+++ b/tests/operations.py
@@ -4,10 +4,16 @@
 
 import itertools
 
+from attrs import evolve
+
 from apricotvale.consensus.messages import Group, HardState, Snapshot
 from apricotvale.consensus.types import GroupPolicy
 from apricotvale.control import commands as c
 from apricotvale.control.configuration import ConfigApplied, ConfigConflict, ConfigDocument
+from apricotvale.discovery import Standing, Upstream
+from apricotvale.fleet import commands as f
+from apricotvale.fleet.state import FleetState
+from apricotvale.jobs import Item, ItemState, Job, Result
 from tests.replicas import SEND_FAULTS, WRITE_FAULTS, Injector, Replicas
 
 RESULT_HELD = "held"
@@ -17,6 +23,8 @@
 OPEN_POLICY = GroupPolicy(open=True, voters=3, learners=1, replace_after_s=1.5)
 # Each change of leader, which two faults can cause twice, begins the wait for the silent one anew.
 AWAY_S = 12.0
+JOB = Job("j-1", "host", "/run/", tuple(Item(f"i-{n}", "/run/", {}, b"body") for n in range(2)))
+UPSTREAM = Upstream("e-1", 1, 1, "lm", "10.0.0.1:80", "a", 8, Standing.READY, models={"m": 3})
 
 
 def start(injector, seed=0):
@@ -197,6 +205,41 @@
     check_states(group, revision=2, text="second")
 
 
+def fleet(injector):
+    """Jobs, results, tables and heartbeats of a fleet race, each sent until it is answered."""
+    group = Replicas(injector=injector, make_state=FleetState, command=f.Command)
+    assert group.run_until(lambda: group.leader() is not None)
+    accepted = group.call(f.AcceptJob(JOB))
+    assert group.run_until(lambda: accepted.result is not None)
+    group.run(0.3)
+    injector.armed = True
+    racing = [
+        f.ListResult(JOB.job_id, Result("i-0", ItemState.COMPLETED, b"one")),
+        f.ListResult(JOB.job_id, Result("i-0", ItemState.COMPLETED, b"two")),
+        f.PutTable(7, b"seven"),
+        f.PutTable(5, b"five"),
+        f.Announce(evolve(UPSTREAM, sequence=2, standing=Standing.DRAINING)),
+        f.Announce(UPSTREAM),
+        f.ListResult(JOB.job_id, Result("i-1", ItemState.FAILED)),
+    ]
+    calls = [group.call(command) for command in racing]
+    assert group.run_until(lambda: all(call.result for call in calls)), "a call got no answer"
+    held = group.leader().state.jobs.state.records[JOB.job_id].results[:1]
+    resent = group.call(f.AcceptJob(JOB))
+    assert group.run_until(lambda: resent.result is not None), "a resend got no answer"
+    injector.armed = False
+    assert group.settle(), "the replicas do not agree"
+    states = group.states()
+    assert all(state == states[0] for state in states), "the replicas' states differ"
+    state = group.leader().state
+    results = state.jobs.state.records[JOB.job_id].results
+    assert results[:1] == held, "a position changed"
+    assert sorted(result.item_id for result in results) == ["i-0", "i-1"], f"{results}"
+    assert (state.table.version, state.table.document) == (7, b"seven"), f"{state.table}"
+    standing = state.registry.state.upstreams["e-1"].standing
+    assert standing is Standing.DRAINING, "an older heartbeat undid a newer one"
+
+
 def check_states(group, revision, text):
     states = group.states()
     assert all(state == states[0] for state in states), "the replicas' states differ"
@@ -210,6 +253,7 @@
     "election": election,
     "snapshot install": snapshot_install,
     "group change": group_change,
+    "fleet": fleet,
     "open group, disk lost": open_group_wipe,
     "open group, replica away": open_group_silence,
 }
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -138,8 +138,19 @@
 class Replicas:
     """A group of replicas, its clients, and the faults between them."""
 
-    def __init__(self, names=("a", "b", "c"), seed=0, injector=None, formed=True, policy=None):
+    def __init__(
+        self,
+        names=("a", "b", "c"),
+        seed=0,
+        injector=None,
+        formed=True,
+        policy=None,
+        make_state=ControlState,
+        command=c.Command,
+    ):
         self.now = 0.0
+        self.make_state = make_state
+        self.command = command
         self.policy = policy
         self.rng = random.Random(seed)
         self.injector = injector or Injector()
@@ -166,7 +177,7 @@
         """Start a replica from its disk."""
         host.storage = Storage(host.disk, host.name)
         stored = host.storage.stored
-        host.state = ControlState()
+        host.state = self.make_state()
         host.state.restore(stored.snapshot.state if stored.snapshot else b"")
         host.node = Node(
             host.storage.meta.data_id,
@@ -343,7 +354,7 @@
 
     def call(self, command):
         """Start a command of a client that repeats it until it is answered."""
-        call = Call(encode(command, c.Command), started=self.now, since=self.now)
+        call = Call(encode(command, self.command), started=self.now, since=self.now)
         self.calls.append(call)
         return call
 
--- a/tests/test_consensus_faults.py
+++ b/tests/test_consensus_faults.py
@@ -7,6 +7,9 @@
 
 import pytest
 
+from apricotvale.fleet.commands import Applied
+from apricotvale.fleet.state import FleetState, TableState
+from apricotvale.jobs import JobBook
 from tests.operations import OPERATIONS, RESULT_HELD, faults_for, run_with, steps_of
 
 PAIRS_IN_CI = 150
@@ -28,7 +31,7 @@
     assert not broken
 
 
-PAIRED = ["config race", "election", "open group, disk lost", "open group, replica away"]
+PAIRED = ["config race", "election", "fleet", "open group, disk lost", "open group, replica away"]
 
 
 @pytest.mark.parametrize("name", PAIRED)
@@ -43,3 +46,24 @@
         if result != RESULT_HELD:
             broken[pair] = result
     assert not broken
+
+
+def list_again(self, job_id, result):
+    """A bug: a result that is listed already gets one more position."""
+    self.state.records[job_id].results.append(result)
+    return True
+
+
+def take_any_table(self, command):
+    """A bug: a table is put in place of a newer one."""
+    self.table = TableState(command.version, command.document)
+    return Applied()
+
+
+@pytest.mark.parametrize(
+    "owner, name, bug",
+    [(JobBook, "list_result", list_again), (FleetState, "put_table", take_any_table)],
+)
+def test_a_seeded_bug_in_the_fleet_is_found(monkeypatch, owner, name, bug):
+    monkeypatch.setattr(owner, name, bug)
+    assert run_with(OPERATIONS["fleet"], []) != RESULT_HELD
