--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -35,6 +35,7 @@
 from apricotvale.requests.routing import Router
 from apricotvale.samples.ledger import Fill, Segment, StepSpec
 from apricotvale.settings.schema import Routing
+from bench import fleet
 from scripts.demo import ROOT, System, address
 from tests.operations import apply_config
 from tests.replicas import TIMING, Replicas
@@ -406,6 +407,7 @@
         "live": live,
         "watchers": watchers,
         "failover": failover,
+        "fleet": fleet.figures,
     }
     found = json.loads(FIGURES.read_text()) if FIGURES.exists() else {}
     for name in sys.argv[1:] or parts:
