Let a replica go on when a caller that waits in its queue has gone

The replica's task set the result of a call whose caller had been cut off while the call waited in the queue; setting a result of a cancelled future raises, and that ended the replica. Change: the three answers in `Replica.handle` go through `resolve`, as all others do. Tests: one for each kind of call, all three failed before.

--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -271,17 +271,17 @@
         if isinstance(event, ProposeEvent):
             entry = self.node.propose(event.payload, wall_clock_ms())
             if isinstance(entry, NotLeader):
-                event.future.set_result(entry)
+                resolve(event.future, entry)
             else:
                 self.proposals[entry.index, entry.term] = event.future
         elif isinstance(event, ReadEvent):
             ticket = self.node.read()
             if isinstance(ticket, NotLeader):
-                event.future.set_result(False)
+                resolve(event.future, False)
             else:
                 self.reads[ticket] = event.future
         elif isinstance(event, TransferEvent):
-            event.future.set_result(self.node.transfer(now))
+            resolve(event.future, self.node.transfer(now))
         else:
             self.node.receive(event, now)
 
