Halve what an entry imports at its start

After a power loss of all VMs control leads again 0.4 s after its start, but entries of 0.29 cores need seconds of the same work, and callers find no connection until then (deployment K, heaviest windows).

Ruled out: the election (0.2 s) and the first route table.

Each role imports only its own modules, the calls that every replica group serves are apart from those of one group, and the certificates of the system, which no connection uses, are not loaded.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -1,10 +1,15 @@
 """Start a process of the deployment: `python3 deploy/start.py ROLE`; ROLE is entry or control."""
 
+import os
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
+# No connection uses TLS here. aiohttp would load the certificates of the system at import, which
+# takes 50 ms of processor time at each start.
+os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+
 from apricotvale.platform.start import main  # noqa: E402
 
 main()
--- a/src/apricotvale/control/calls.py
+++ b/src/apricotvale/control/calls.py
@@ -7,7 +7,15 @@
 
 from attrs import field, frozen
 
-from apricotvale.consensus.messages import PeerMessage
+from apricotvale.consensus.calls import (
+    Interface,
+    JoinProbe,
+    PartRead,
+    ProbeReply,
+    ReadPart,
+    Redirect,
+    Unconfirmed,
+)
 from apricotvale.control.commands import Command, Result
 from apricotvale.control.configuration import ConfigChange, ConfigDocument
 from apricotvale.membership.roster import Member, RosterDelta
@@ -59,21 +67,6 @@
     topic: str
 
 
-@frozen
-class ReadPart:
-    """Request of a replica that installs a snapshot for one of its parts."""
-
-    digest: str
-
-
-@frozen
-class JoinProbe:
-    """Request of a replica without data for what a peer knows about the group."""
-
-    name: str
-    data_id: str
-
-
 CallRequest = Propose | Sync | Query | JoinProbe | ReadPart
 
 
@@ -84,20 +77,6 @@
     result: Result
 
 
-@frozen
-class Redirect:
-    """This replica is not the leader; `address` is the leader's, empty if unknown."""
-
-    address: str = ""
-
-
-@frozen
-class Unconfirmed:
-    """It is unknown whether the call was committed; the caller should retry."""
-
-    detail: str = ""
-
-
 @frozen
 class Invalid:
     """The call was rejected before anything was committed."""
@@ -209,43 +188,8 @@
     lease_ms: int = 0
 
 
-@frozen
-class PartRead:
-    """A part of a snapshot; the content is empty if the replica does not hold the part."""
-
-    content: bytes
-
-
-@frozen
-class ProbeReply:
-    """Reply to a join probe.
-
-    :param empty: whether the peer has no data, so that it belongs to no group yet.
-    :param leader_id: data id of the leader, empty if unknown.
-    :param addresses: addresses of the group's members.
-    :param address: address at which the prober reached the peer, set by the prober.
-    """
-
-    name: str
-    data_id: str
-    empty: bool
-    leader_id: str = ""
-    addresses: list[str] = field(factory=list)
-    address: str = ""
-
-
 CallReply = (
     Committed | Redirect | Unconfirmed | Invalid | SyncReply | Report | ProbeReply | PartRead
 )
 
-
-@frozen
-class PeerBatch:
-    """Consensus messages to a replica, in order."""
-
-    messages: list[PeerMessage]
-
-
-@frozen
-class Delivered:
-    """Acknowledges that a batch of peer messages arrived."""
+CONTROL = Interface("/apricotvale.Control/Call", CallRequest, CallReply)
--- a/src/apricotvale/daemons/control.py
+++ b/src/apricotvale/daemons/control.py
@@ -66,7 +66,7 @@
         self.disk = FolderDisk(Path(settings.data_folder))
         storage = Storage(self.disk, settings.name)
         self.state = ControlState()
-        peers = fixed_peers(settings.name, replicas)
+        peers = fixed_peers(settings.name, replicas, calls.CONTROL)
         self.replica = Replica(peers, storage, Timing(), self.on_applied, self.state)
         self.contacts: dict[str, MemberContact] = {}
         self.leading_term = 0
@@ -78,7 +78,9 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then transfer leadership and shut down."""
-        server = make_server(ControlService(self.on_call, self.replica.receive_batch))
+        server = make_server(
+            ControlService(self.on_call, self.replica.receive_batch, calls.CONTROL)
+        )
         host, _, port = self.settings.listen.rpartition(":")
         await server.start(host, int(port))
         async with TaskGroup() as tasks:
--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -12,15 +12,14 @@
 
 from apricotvale import clock, events, metrics
 from apricotvale.codec import encode
+from apricotvale.consensus.calls import JoinProbe, ReadPart, Redirect, Unconfirmed
 from apricotvale.consensus.disk import FolderDisk
 from apricotvale.consensus.membership import is_silent
 from apricotvale.consensus.storage import Storage
 from apricotvale.consensus.types import GroupPolicy, NotLeader, Timing
-from apricotvale.control.calls import JoinProbe, ReadPart, Redirect, Unconfirmed
-from apricotvale.daemons.fleet_link import FLEET
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.job_runner import SAVE_INTERVAL_S, JobRunner
-from apricotvale.daemons.link import ControlClient
+from apricotvale.daemons.leader_client import LeaderClient
 from apricotvale.daemons.load_scheduler import LoadScheduler
 from apricotvale.daemons.peers import Peers
 from apricotvale.daemons.replica import LostLeadership, Replica
@@ -30,6 +29,7 @@
 from apricotvale.exceptions import ApricotvaleError
 from apricotvale.fleet import calls
 from apricotvale.fleet import commands as c
+from apricotvale.fleet.calls import FLEET
 from apricotvale.fleet.state import FleetState
 from apricotvale.jobs import Job, Result
 from apricotvale.jobs.store import expected_bytes
@@ -91,8 +91,8 @@
             settings.name,
             settings.internal_address,
             settings.contact_addresses(),
+            FLEET,
             settings.founds and settings.internal_address in settings.contact_addresses(),
-            interface=FLEET,
             policy=GroupPolicy(True, 2 * settings.failures + 1, settings.failures, REPLACE_AFTER_S),
         )
         storage = Storage(self.disk, settings.name)
@@ -108,7 +108,7 @@
             self.may_send_orders,
             lambda: self.replica.node.term,
         )
-        self.leader_client = ControlClient(settings.contact_addresses(), FLEET)
+        self.leader_client = LeaderClient(settings.contact_addresses(), FLEET)
         self.table_version = 0
         self.last_heartbeats: dict[str, LastHeartbeat] = {}
         self.proposed_jobs: Counter[str] = Counter()
--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -10,7 +10,7 @@
 from apricotvale import clock, events, metrics
 from apricotvale.daemons.fleet_link import FleetLink
 from apricotvale.daemons.forwarder import Forwarder
-from apricotvale.daemons.link import ATTEMPT_TIMEOUT_S
+from apricotvale.daemons.leader_client import ATTEMPT_TIMEOUT_S
 from apricotvale.daemons.runtime import TaskGroup, wait_event, wait_until_stopped
 from apricotvale.outcomes import Reason, Refusal, not_run
 from apricotvale.requests.calls import Answer, Call, UpstreamClient
--- a/src/apricotvale/daemons/fleet_link.py
+++ b/src/apricotvale/daemons/fleet_link.py
@@ -7,15 +7,14 @@
 from typing import Any
 
 from apricotvale import clock, events
-from apricotvale.daemons.link import ATTEMPT_TIMEOUT_S, ControlClient
-from apricotvale.daemons.rpc import Interface
+from apricotvale.daemons.leader_client import ATTEMPT_TIMEOUT_S, LeaderClient
 from apricotvale.discovery import RegistryView
 from apricotvale.exceptions import ApricotvaleError
 from apricotvale.fleet import calls
+from apricotvale.fleet.calls import FLEET
 from apricotvale.outcomes import Refusal
 from apricotvale.routes import RouteTable
 
-FLEET = Interface("/apricotvale.Fleet/Call", calls.FleetRequest, calls.FleetReply)
 WATCH_WAIT_MS = 1_000
 WATCH_MARGIN_S = 0.6
 # If the view has been unconfirmed for this long, the next watch asks for confirmation by a quorum.
@@ -34,8 +33,8 @@
         self.contacts = contacts
         self.addresses: list[str] = []
         self.parse_table = parse_table
-        self.watch_client = ControlClient(contacts, FLEET)
-        self.call_client = ControlClient(contacts, FLEET)
+        self.watch_client = LeaderClient(contacts, FLEET)
+        self.call_client = LeaderClient(contacts, FLEET)
         self.view = RegistryView()
         self.table: RouteTable | None = None
         self.has_table = asyncio.Event()
--- a/src/apricotvale/daemons/link.py
+++ b/src/apricotvale/daemons/link.py
@@ -10,68 +10,23 @@
 from apricotvale import events
 from apricotvale.control import calls
 from apricotvale.control import commands as c
-from apricotvale.daemons.rpc import CONTROL, Interface, RpcClient
+from apricotvale.control.calls import CONTROL
+from apricotvale.daemons.leader_client import LeaderClient
 from apricotvale.membership.roster import Member
-from apricotvale.outcomes import RETRY_AFTER_S, Reason, Refusal, not_run
+from apricotvale.outcomes import Reason, Refusal, not_run
 
-ATTEMPT_TIMEOUT_S = 1.0
-RETRY_PAUSE_S = 0.03
 SYNC_MARGIN_S = 1.0
 LEAVE_TIMEOUT_S = 2.0
 
 
-class ControlClient:
-    """Client of the control replica that currently leads.
-
-    Calls are retried, so commands must be idempotent.
+class ControlClient(LeaderClient):
+    """Client of the control replicas that keep the configuration.
 
     :param addresses: addresses of the control replicas.
-    :param interface: the RPC interface that the replicas serve.
     """
 
-    def __init__(self, addresses: list[str], interface: Interface = CONTROL) -> None:
-        self.addresses = list(addresses)
-        self.interface = interface
-        self.clients: dict[str, RpcClient] = {}
-        self.current_address = addresses[0]
-
-    async def call(
-        self, request: Any, deadline: float, attempt_timeout_s: float = ATTEMPT_TIMEOUT_S
-    ) -> Any | Refusal:
-        """Return the leader's reply, or a refusal if there is none by the deadline.
-
-        :param request: one of `calls.CallRequest`.
-        :param deadline: on the monotonic clock, in seconds.
-        :param attempt_timeout_s: time limit of the attempt at one replica, in seconds.
-        """
-        while True:
-            remaining = deadline - time.monotonic()
-            if remaining <= 0:
-                return not_run(
-                    Reason.NO_QUORUM,
-                    "no control leader answered before the deadline",
-                    RETRY_AFTER_S,
-                )
-            try:
-                reply = await self.client(self.current_address).call(
-                    request, min(remaining, attempt_timeout_s)
-                )
-            except asyncio.CancelledError:
-                raise
-            except Exception:
-                self.disconnect(self.current_address)
-                self.current_address = self.next_address(self.current_address)
-                await asyncio.sleep(min(RETRY_PAUSE_S, max(0.0, remaining)))
-                continue
-            if isinstance(reply, calls.Redirect):
-                self.current_address = reply.address or self.next_address(self.current_address)
-                await asyncio.sleep(RETRY_PAUSE_S)
-            elif not isinstance(reply, calls.Unconfirmed):
-                return reply
-
-    def now(self) -> float:
-        """Return the current time on the clock of call deadlines, in seconds."""
-        return time.monotonic()
+    def __init__(self, addresses: list[str]) -> None:
+        super().__init__(addresses, CONTROL)
 
     async def propose(self, command: Any, deadline: float) -> Any | Refusal:
         """Commit a command; return its result or a refusal.
@@ -85,29 +40,6 @@
             return not_run(Reason.BAD_REQUEST, "; ".join(reply.problems))
         return reply
 
-    def client(self, address: str) -> RpcClient:
-        """Return the client of an address; create it if there is none."""
-        if address not in self.clients:
-            self.clients[address] = RpcClient(address, self.interface)
-        return self.clients[address]
-
-    def disconnect(self, address: str) -> None:
-        """Close the connection to an address, if there is one."""
-        client = self.clients.pop(address, None)
-        if client is not None:
-            client.close()
-
-    def next_address(self, address: str) -> str:
-        """Return the address to try after the given one."""
-        if address not in self.addresses:
-            return self.addresses[0]
-        return self.addresses[(self.addresses.index(address) + 1) % len(self.addresses)]
-
-    def close(self) -> None:
-        """Close all connections."""
-        for address in list(self.clients):
-            self.disconnect(address)
-
 
 class ControlLink:
     """The sync loop of a member, with connections of its own.
--- a/src/apricotvale/daemons/peers.py
+++ b/src/apricotvale/daemons/peers.py
@@ -8,10 +8,10 @@
 from attrs import define, field
 
 from apricotvale import events
+from apricotvale.consensus.calls import Interface, PeerBatch
 from apricotvale.consensus.messages import PeerMessage
 from apricotvale.consensus.types import GroupPolicy
-from apricotvale.control.calls import PeerBatch
-from apricotvale.daemons.rpc import CONTROL, Interface, RpcClient
+from apricotvale.daemons.rpc import RpcClient
 
 PEER_RETRY_PAUSE_S = 0.02
 PEER_TIMEOUT_S = 1.0
@@ -25,27 +25,27 @@
     :param name: the replica's own name.
     :param address: the replica's own address.
     :param contacts: addresses of replicas to probe; with `founds` they also form the first group.
+    :param interface: the RPC interface that the replicas serve.
     :param founds: whether this replica takes part in forming the first group.
     :param replicas: addresses by name, if the group is a fixed table of names.
     :param policy: how the group maintains its size.
-    :param interface: the RPC interface that the replicas serve.
     """
 
     name: str
     address: str
     contacts: list[str]
+    interface: Interface
     founds: bool = True
     replicas: dict[str, str] = field(factory=dict)
     policy: GroupPolicy = field(factory=GroupPolicy)
-    interface: Interface = CONTROL
 
 
-def fixed_peers(name: str, replicas: dict[str, str]) -> Peers:
+def fixed_peers(name: str, replicas: dict[str, str], interface: Interface) -> Peers:
     """Return the peers of a replica whose group is a fixed table of names.
 
     :param replicas: addresses by name, including this replica's own.
     """
-    return Peers(name, replicas[name], sorted(replicas.values()), True, replicas)
+    return Peers(name, replicas[name], sorted(replicas.values()), interface, True, replicas)
 
 
 class PeerLink:
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -17,6 +17,7 @@
 
 from apricotvale import clock, events
 from apricotvale.codec import decode, encode
+from apricotvale.consensus.calls import JoinProbe, PartRead, PeerBatch, ProbeReply, ReadPart
 from apricotvale.consensus.messages import (
     Entry,
     Group,
@@ -31,7 +32,6 @@
 from apricotvale.consensus.node import Node
 from apricotvale.consensus.storage import Storage, Stored
 from apricotvale.consensus.types import NotLeader, Ready, Role, Timing
-from apricotvale.control.calls import JoinProbe, PartRead, PeerBatch, ProbeReply, ReadPart
 from apricotvale.daemons.peers import PEER_TIMEOUT_S, PeerLink, Peers
 from apricotvale.daemons.runtime import TaskGroup
 from apricotvale.exceptions import DataFolderError, DiskError, GroupMismatchError
--- a/src/apricotvale/daemons/rpc.py
+++ b/src/apricotvale/daemons/rpc.py
@@ -8,7 +8,6 @@
 from contextlib import suppress
 from typing import Any
 
-from attrs import frozen
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.config import Configuration
 from grpclib.const import Cardinality, Handler
@@ -18,7 +17,7 @@
 from grpclib.server import Server, Stream
 
 from apricotvale.codec import decode, encode
-from apricotvale.control.calls import CallReply, CallRequest, Delivered, PeerBatch
+from apricotvale.consensus.calls import Delivered, Interface, PeerBatch
 
 PEER_PATH = "/apricotvale.Control/Peer"
 WINDOW_BYTES = 4 * 1024 * 1024
@@ -26,23 +25,6 @@
 USER_TIMEOUT_MS = 1_500
 
 
-@frozen
-class Interface:
-    """The RPC method of one kind of server.
-
-    :param path: the gRPC path of the method.
-    :param request: the union of its request messages.
-    :param reply: the union of its reply messages.
-    """
-
-    path: str
-    request: Any
-    reply: Any
-
-
-CONTROL = Interface("/apricotvale.Control/Call", CallRequest, CallReply)
-
-
 class MessageCodec(CodecBase):
     """Adapter of the project's codec to grpclib's codec interface."""
 
@@ -76,7 +58,7 @@
         self,
         on_call: Callable[[Any], Awaitable[Any]],
         on_peer: Callable[[PeerBatch], None],
-        interface: Interface = CONTROL,
+        interface: Interface,
     ) -> None:
         self.on_call = on_call
         self.on_peer = on_peer
@@ -177,7 +159,7 @@
     :param interface: the RPC interface that the replica serves.
     """
 
-    def __init__(self, address: str, interface: Interface = CONTROL) -> None:
+    def __init__(self, address: str, interface: Interface) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
         self.channel = AbortableChannel(
--- a/src/apricotvale/fleet/calls.py
+++ b/src/apricotvale/fleet/calls.py
@@ -4,7 +4,8 @@
 
 from attrs import field, frozen
 
-from apricotvale.control.calls import (
+from apricotvale.consensus.calls import (
+    Interface,
     JoinProbe,
     PartRead,
     ProbeReply,
@@ -206,3 +207,5 @@
     | ItemRead
     | WatchReply
 )
+
+FLEET = Interface("/apricotvale.Fleet/Call", FleetRequest, FleetReply)
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -10,15 +10,11 @@
 from pathlib import Path
 
 from apricotvale import events, metrics
-from apricotvale.daemons.fleet_control import FleetControl
-from apricotvale.daemons.fleet_entry import FleetEntry
 from apricotvale.daemons.runtime import HttpServer, install_reload_handler, run
 from apricotvale.exceptions import ApricotvaleError
 from apricotvale.log_writer import configure_bounded
 from apricotvale.platform import names, wire
 from apricotvale.platform.client import PlatformClient
-from apricotvale.platform.interface import ControlInterface
-from apricotvale.platform.requests import RequestInterface
 from apricotvale.settings.fleet import FleetSettings, load_fleet
 
 SETTINGS_VARIABLE = "APRICOTVALE_BOOT"
@@ -28,6 +24,10 @@
 
 async def run_entry(settings: FleetSettings, stop: asyncio.Event) -> None:
     """Run an entry: serve callers until `stop` is set, then finish their requests."""
+    # Imports of one role are left to it: half of the time to restart an entry are imports.
+    from apricotvale.daemons.fleet_entry import FleetEntry
+    from apricotvale.platform.requests import RequestInterface
+
     async with AsyncExitStack() as stack:
         client = await stack.enter_async_context(PlatformClient())
         entry = FleetEntry(settings, client, wire.parse_table)
@@ -48,6 +48,9 @@
 
 async def run_control(settings: FleetSettings, stop: asyncio.Event) -> None:
     """Run control: serve operators, trainers, upstreams and entries until `stop` is set."""
+    from apricotvale.daemons.fleet_control import FleetControl
+    from apricotvale.platform.interface import ControlInterface
+
     async with AsyncExitStack() as stack:
         client = await stack.enter_async_context(PlatformClient())
         control = FleetControl(settings, client, wire.parse_table, names.EVENT_VERSION_FIELD)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -139,7 +139,7 @@
 
 async def test_a_stopped_control_replica_renews_no_lease_on_an_open_connection(tmp_path):
     async with Site(tmp_path) as site:
-        client = RpcClient(site.control)
+        client = RpcClient(site.control, calls.CONTROL)
         member = site.control_state().roster.state.members[site.entry.settings.name]
         sync = calls.Sync(member, 0, 1, 1, False, 0)
         assert isinstance(await client.call(sync, 5.0), calls.SyncReply)
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -13,9 +13,9 @@
 import pytest
 from grpclib.exceptions import StreamTerminatedError
 
+from apricotvale.consensus.calls import PeerBatch
 from apricotvale.consensus.messages import JoinRequest
 from apricotvale.control import calls
-from apricotvale.control.calls import PeerBatch
 from apricotvale.daemons.link import ControlClient
 from apricotvale.daemons.rpc import ControlService, RpcClient, make_server, run_in_own_task
 from apricotvale.outcomes import Ran, Reason
@@ -30,7 +30,7 @@
     async def on_call(request):
         await release.wait()
 
-    server = make_server(ControlService(on_call, lambda batch: None))
+    server = make_server(ControlService(on_call, lambda batch: None, calls.CONTROL))
     address = free_address()
     host, _, port = address.rpartition(":")
     await server.start(host, int(port))
@@ -41,7 +41,7 @@
 
 
 async def test_a_call_that_times_out_does_not_cancel_its_caller(unresponsive_address):
-    client = RpcClient(unresponsive_address)
+    client = RpcClient(unresponsive_address, calls.CONTROL)
     with pytest.raises(asyncio.TimeoutError):
         await client.call(calls.Query("config"), 0.05)
     assert asyncio.current_task().cancelling() == 0
@@ -69,7 +69,7 @@
     listener = socket.socket()
     listener.bind(("127.0.0.1", 0))
     listener.listen()
-    client = RpcClient(f"127.0.0.1:{listener.getsockname()[1]}")
+    client = RpcClient(f"127.0.0.1:{listener.getsockname()[1]}", calls.CONTROL)
     batch = PeerBatch([JoinRequest("x" * 8_000_000, "", "a", "b")])
     with pytest.raises((TimeoutError, StreamTerminatedError)):
         await client.send_peer(batch, 0.2)
@@ -91,7 +91,7 @@
 
     server = await asyncio.start_server(on_connection, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
-    client = RpcClient(f"{host}:{port}")
+    client = RpcClient(f"{host}:{port}", calls.CONTROL)
     call = asyncio.ensure_future(client.call(calls.Query("config"), 1.0))
     await asyncio.sleep(0)
     client.close()
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -17,6 +17,7 @@
     frame,
 )
 from apricotvale.consensus.types import Timing
+from apricotvale.control.calls import CONTROL
 from apricotvale.control.state import ControlState
 from apricotvale.daemons.peers import fixed_peers
 from apricotvale.daemons.replica import Replica
@@ -142,5 +143,5 @@
     storage.save_snapshot(Snapshot(1, 1, 0, group, b""), HardState(1), [])
     reopened = Storage(storage.disk, "a")
     with pytest.raises(GroupMismatchError):
-        peers = fixed_peers("a", {"a": "x:1", "c": "y:1"})
+        peers = fixed_peers("a", {"a": "x:1", "c": "y:1"}, CONTROL)
         Replica(peers, reopened, Timing(), lambda: None, ControlState())
