Elect a new leader at once when the process of the former one is gone

A killed leader left the group without one for 0.66 to 0.96 s, the election timeout, although its peers' connections end the moment it dies.

Ruled out: a shorter election timeout, which would depose leaders on slow VMs.

A link whose connection ends asks at once whether the peer still listens. If the leader's address refuses the connection, followers start a pre-vote within a few round trips; a majority that still hears the leader refuses it.

--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -43,6 +43,9 @@
 # timeout: after a restart of all replicas there is no leader and callers are waiting.
 STARTUP_TIMEOUT_MIN_FACTOR = 0.3
 STARTUP_TIMEOUT_JITTER_FACTOR = 0.4
+# Range of the random wait after the leader's process was found to be gone. A few round trips are
+# enough for one candidate to win before the next one starts.
+LEADER_DOWN_JITTER_FACTOR = 0.15
 
 
 class Node:
@@ -90,6 +93,7 @@
         self.leader_id = ""
         self.leader_name = ""
         self.leader_heard_at = float("-inf")
+        self.leader_is_down = False
         self.votes: set[str] = set()
         self.pre_voting = False
         self.election_attempts = 0
@@ -240,6 +244,19 @@
                 )
         self.count_votes(now)
 
+    def on_leader_down(self, leader_id: str, now: float) -> None:
+        """Start an election soon, since no process listens at the leader's address any more.
+
+        Load pattern: the process of the leader is killed while its VM goes on. Waiting for the
+        election timeout would leave jobs and calls without a leader for most of a second. The
+        pre-vote fails while a majority still hears the leader.
+        """
+        if self.role is not Role.FOLLOWER or self.leader_id != leader_id or not leader_id:
+            return
+        self.leader_is_down = True
+        wait_s = self.timing.election_timeout_s * LEADER_DOWN_JITTER_FACTOR * self.jitter()
+        self.election_at = min(self.election_at, now + wait_s)
+
     def count_votes(self, now: float) -> None:
         """Start the election after a won pre-vote, or become leader after a won election."""
         granted = len(self.votes & set(self.group.voters()))
@@ -272,7 +289,8 @@
         For a leadership transfer, an active leader is no reason to refuse. A pre-vote does not
         depend on votes cast.
         """
-        leader_alive = now < self.leader_heard_at + self.timing.election_timeout_s
+        heard_recently = now < self.leader_heard_at + self.timing.election_timeout_s
+        leader_alive = heard_recently and not self.leader_is_down
         if self.role is Role.LEADER:
             leader_alive = True
         if leader_alive and not request.transfer:
@@ -541,6 +559,7 @@
         self.leader_name = leader_name or self.leader_name
         self.pre_voting = False
         self.leader_heard_at = now
+        self.leader_is_down = False
         self.election_attempts = 0
         self.election_at = self.election_deadline(now)
 
--- a/src/apricotvale/daemons/peers.py
+++ b/src/apricotvale/daemons/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 from attrs import define, field
 
@@ -52,15 +53,27 @@
     """Send messages to one peer in batches; a full queue drops its oldest message.
 
     :param interface: the RPC interface that the peer serves.
+    :param on_refused: called with the peer's address when it refuses a connection, which means
+        that no process listens there.
     """
 
-    def __init__(self, address: str, interface: Interface) -> None:
+    def __init__(
+        self, address: str, interface: Interface, on_refused: Callable[[str], None]
+    ) -> None:
         self.address = address
         self.interface = interface
-        self.client = RpcClient(address, interface)
+        self.on_refused = on_refused
+        self.wake = asyncio.Event()
+        self.client = self.connect()
         self.reachable = True
         self.queue: deque[PeerMessage] = deque(maxlen=PEER_QUEUE_MESSAGES)
-        self.wake = asyncio.Event()
+
+    def connect(self) -> RpcClient:
+        """Return a client for a new connection.
+
+        When a connection ends, an empty batch shows at once whether the peer still listens.
+        """
+        return RpcClient(self.address, self.interface, self.wake.set)
 
     def send(self, message: PeerMessage) -> None:
         """Queue a message for the next batch."""
@@ -86,7 +99,9 @@
                 self.set_reachable(False, repr(error))
                 self.queue.clear()
                 self.client.close()
-                self.client = RpcClient(self.address, self.interface)
+                self.client = self.connect()
+                if isinstance(error, ConnectionRefusedError):
+                    self.on_refused(self.address)
                 await asyncio.sleep(PEER_RETRY_PAUSE_S)
 
     def set_reachable(self, reachable: bool, error: str) -> None:
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -79,6 +79,13 @@
     future: asyncio.Future[bool]
 
 
+@frozen
+class LeaderDownEvent:
+    """Notice that no process listens at the address of the leader."""
+
+    leader_id: str
+
+
 class StateMachine(Protocol):
     """The state that committed entries are applied to."""
 
@@ -323,6 +330,8 @@
                 self.reads[ticket] = event.future
         elif isinstance(event, TransferEvent):
             resolve(event.future, self.node.transfer(now))
+        elif isinstance(event, LeaderDownEvent):
+            self.node.on_leader_down(event.leader_id, now)
         elif not isinstance(event, InstallRequest) or self.has_parts(event.snapshot):
             self.node.receive(event, now)
 
@@ -380,10 +389,15 @@
     def link(self, address: str) -> PeerLink:
         """Return the link to a peer's address; start one if there is none."""
         if address not in self.links:
-            self.links[address] = PeerLink(address, self.peers.interface)
+            self.links[address] = PeerLink(address, self.peers.interface, self.on_refused)
             self.tasks.start(self.links[address].run())
         return self.links[address]
 
+    def on_refused(self, address: str) -> None:
+        """Tell the node if the address at which no process listens is the leader's."""
+        if address == self.leader_address():
+            self.post(LeaderDownEvent(self.node.leader_id))
+
     def contacts(self) -> list[str]:
         """Return the addresses of all known replicas except this one."""
         found = dict.fromkeys([*self.peers.contacts, *self.addresses()])
--- a/src/apricotvale/daemons/rpc.py
+++ b/src/apricotvale/daemons/rpc.py
@@ -115,10 +115,26 @@
 
 
 class AbortableChannel(Channel):
-    """A grpclib channel that detects an unresponsive peer and can be aborted immediately."""
+    """A grpclib channel that detects an unresponsive peer and can be aborted immediately.
+
+    `on_lost` is called when the connection ends and was not aborted.
+    """
 
     transport: asyncio.Transport | None = None
     aborted = False
+    on_lost: Callable[[], None] | None = None
+
+    def _protocol_factory(self) -> H2Protocol:
+        protocol = super()._protocol_factory()
+        connection_lost = protocol.connection_lost
+
+        def report_loss(exc: BaseException | None) -> None:
+            connection_lost(exc)
+            if self.on_lost is not None and not self.aborted:
+                self.on_lost()
+
+        protocol.connection_lost = report_loss  # type: ignore[method-assign]
+        return protocol
 
     async def _create_connection(self) -> H2Protocol:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -157,14 +173,18 @@
 
     :param address: the replica's address as `host:port`.
     :param interface: the RPC interface that the replica serves.
+    :param on_lost: called when the connection ends without `close`.
     """
 
-    def __init__(self, address: str, interface: Interface) -> None:
+    def __init__(
+        self, address: str, interface: Interface, on_lost: Callable[[], None] | None = None
+    ) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
         self.channel = AbortableChannel(
             host, int(port), codec=MessageCodec(), config=window_configuration()
         )
+        self.channel.on_lost = on_lost
         self.call_method: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
             self.channel, interface.path, interface.request, interface.reply
         )
