Decode the customers of a table and decide what a key gives access to

Callers had no identity: the configuration could not name customers, and a job belonged to nobody. Messages get an optional customer, so that those of the previous build stay readable.

The error for a body that is not Unicode contained the whole body and was logged. It would have shown keys, so it no longer contains the body.

--- a/src/apricotvale/fleet/calls.py
+++ b/src/apricotvale/fleet/calls.py
@@ -67,33 +67,51 @@
 
 @frozen
 class SubmitJob:
-    """Submit a job."""
+    """Submit a job.
+
+    :param customer: customer of the caller; a job id in use by another customer is refused. None if
+        that is not checked.
+    """
 
     job: Job
+    customer: str | None = None
 
 
 @frozen
 class ReadResults:
-    """Read a job's results from a position on, as a long poll of up to `wait_ms`."""
+    """Read a job's results from a position on, as a long poll of up to `wait_ms`.
+
+    :param customer: customer of the caller, who may read its own jobs only; None if that is not
+        checked.
+    """
 
     job_id: str
     after: int
     wait_ms: int = 0
+    customer: str | None = None
 
 
 @frozen
 class ReadItem:
-    """Read the body of an item that has no result yet."""
+    """Read the body of an item that has no result yet.
+
+    :param customer: as in `ReadResults`.
+    """
 
     job_id: str
     item_id: str
+    customer: str | None = None
 
 
 @frozen
 class EndJob:
-    """Stop running a job."""
+    """Stop running a job.
+
+    :param customer: as in `ReadResults`.
+    """
 
     job_id: str
+    customer: str | None = None
 
 
 @frozen
@@ -142,6 +160,11 @@
     """The job was rejected and will not run: the jobs held leave no room for it."""
 
 
+@frozen
+class NotOwner:
+    """The job was rejected and will not run: its id belongs to a job of another customer."""
+
+
 @frozen
 class TooFewLeft:
     """The retirement would leave too few replicas."""
@@ -199,6 +222,7 @@
     | Accepted
     | NotFound
     | JobsFull
+    | NotOwner
     | TooFewLeft
     | TableRead
     | RetirementRead
--- a/src/apricotvale/jobs/types.py
+++ b/src/apricotvale/jobs/types.py
@@ -52,6 +52,7 @@
     :param step: step number of the trainer, -1 for a job without a trainer.
     :param min_version: oldest weight version that may generate its outputs.
     :param wanted_groups: number of complete groups that the trainer waits for.
+    :param customer: the customer that owns the job, empty for a job without one.
     """
 
     job_id: str
@@ -62,6 +63,7 @@
     model: str = ""
     min_version: int = 0
     wanted_groups: int = 0
+    customer: str = ""
 
 
 @frozen
--- a/src/apricotvale/outcomes.py
+++ b/src/apricotvale/outcomes.py
@@ -43,6 +43,8 @@
     TOMBSTONED = "tombstoned"
     STALE_PULL = "stale_pull"
     ISLAND = "island"
+    UNKNOWN_KEY = "unknown_key"
+    JOB_ID_TAKEN = "job_id_taken"
 
 
 STATUS_BY_REASON = {
@@ -61,6 +63,8 @@
     Reason.UPSTREAM_LOST: 502,
     Reason.UPSTREAM_GARBLED: 502,
     Reason.STALE_PULL: 409,
+    Reason.UNKNOWN_KEY: 401,
+    Reason.JOB_ID_TAKEN: 409,
 }
 DEFAULT_STATUS = 503
 RETRY_AFTER_S = 1.0
--- a/src/apricotvale/platform/wire.py
+++ b/src/apricotvale/platform/wire.py
@@ -7,6 +7,7 @@
 import json
 from typing import Any
 
+from apricotvale.customers.table import Customer, CustomerTable
 from apricotvale.discovery import Standing, Upstream
 from apricotvale.exceptions import BadInputError, bad_input
 from apricotvale.fleet import calls
@@ -40,8 +41,14 @@
 
     :raises BadInputError: if the body is not valid JSON or not an object.
     """
-    with bad_input():
-        document = json.loads(body)
+    try:
+        with bad_input():
+            document = json.loads(body)
+    except BadInputError as error:
+        if isinstance(error.__cause__, UnicodeDecodeError):
+            # Its message contains the whole body, which may hold keys and would be logged.
+            raise BadInputError("the body is not valid Unicode") from None
+        raise
     if not isinstance(document, dict):
         raise BadInputError("the body is not a JSON object")
     return document
@@ -87,6 +94,7 @@
             typed_field(limits, "max_body_bytes", int, defaults.max_body_bytes),
             typed_field(limits, "idle_timeout_ms", float, defaults.idle_timeout_ms),
         ),
+        parse_customers(document),
     )
     problems = check_table(table)
     if problems:
@@ -117,6 +125,7 @@
         typed_field(entry, "single_version", bool, False),
         typed_field(entry, "run_deadline_ms", float, 0.0),
         typed_field(entry, "keep_s", float, 0.0) * 1000,
+        typed_field(entry, "public", bool, False),
     )
 
 
@@ -144,6 +153,31 @@
     return Service(typed_field(entry, "name", str), Engine(tuple(models), memory_tokens))
 
 
+def parse_customers(document: dict[str, Any]) -> CustomerTable | None:
+    """Decode the customers of a table, None if it has no list of customers.
+
+    A null instead of the list is invalid, since it would admit every caller without a key.
+    """
+    if "tenants" not in document:
+        return None
+    entries = typed_field(document, "tenants", list)
+    return CustomerTable(tuple(parse_customer(entry) for entry in entries))
+
+
+def parse_customer(entry: Any) -> Customer:
+    """Decode one customer. Errors are logged, so they name no key."""
+    if not isinstance(entry, dict):
+        raise BadInputError("an entry of 'tenants' is not an object")
+    keys = typed_field(entry, "api_keys", list)
+    if not all(isinstance(key, str) for key in keys):
+        raise BadInputError("a value of 'api_keys' is not a string")
+    return Customer(
+        typed_field(entry, "name", str),
+        tuple(keys),
+        typed_field(entry, "priority", int, None),
+    )
+
+
 # Upstreams
 
 
--- a/src/apricotvale/routes/table.py
+++ b/src/apricotvale/routes/table.py
@@ -7,6 +7,8 @@
 
 from attrs import field, frozen
 
+from apricotvale.customers.table import CustomerTable, check_customers
+
 
 class RouteKind(StrEnum):
     """How requests of a route are executed and whether they may be repeated.
@@ -40,6 +42,7 @@
     :param single_version: whether a sample must come from a single weight version.
     :param job_deadline_ms: time from a job's submission until all its results are due.
     :param keep_ms: time from a job's submission after which its items may be abandoned.
+    :param is_public: whether its requests need no key.
     """
 
     name: str
@@ -55,6 +58,7 @@
     single_version: bool = False
     job_deadline_ms: float = 0.0
     keep_ms: float = 0.0
+    is_public: bool = False
 
 
 @frozen
@@ -90,12 +94,16 @@
 
 @frozen
 class RouteTable:
-    """All routes and services; a table is replaced only by one with a greater version."""
+    """All routes and services; a table is replaced only by one with a greater version.
+
+    :param customers: None if callers need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits = field(factory=Limits)
+    customers: CustomerTable | None = None
     by_host: dict[str, list[Route]] = field(init=False, eq=False, repr=False)
 
     @by_host.default
@@ -120,7 +128,7 @@
 
 def check_table(table: RouteTable) -> list[str]:
     """Validate a table; return its problems, an empty list if it is valid."""
-    problems = []
+    problems = check_customers(table.customers.customers) if table.customers else []
     seen: set[tuple[str, str]] = set()
     for route in table.routes:
         key = (route.host.lower(), route.prefix)
