Keep the text of malformed requests out of the log

The HTTP library logs the error of its parser, which quotes the malformed header line. A malformed field with a customer's key thereby showed the key. The record now has the kind of the error and the status only.

--- a/src/apricotvale/daemons/runtime.py
+++ b/src/apricotvale/daemons/runtime.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import signal
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import uvloop
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 
 from apricotvale import events
 
@@ -62,6 +64,22 @@
     events.emit(events.STOPPING, told=stop.is_set())
 
 
+def remove_request_text(record: logging.LogRecord) -> bool:
+    """Remove the text of a malformed request from a log record.
+
+    The errors of the HTTP parser quote header lines, and these may hold a customer's key.
+    """
+    error = record.exc_info[1] if record.exc_info else None
+    if isinstance(error, HttpProcessingError):
+        record.msg = f"{record.getMessage()}: {type(error).__name__}, status {error.code}"
+        record.args, record.exc_info = (), None
+    return True
+
+
+HTTP_LOGGER = logging.getLogger("apricotvale.http")
+HTTP_LOGGER.addFilter(remove_request_text)
+
+
 class HttpServer:
     """Serves an aiohttp application on one address, as a context manager.
 
@@ -74,6 +92,7 @@
         self.address = address
         self.runner = web.AppRunner(
             app,
+            logger=HTTP_LOGGER,
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
