Check the fields of heartbeats and reports strictly

Heartbeats may come from another writer. A negative capacity, an address that is no ip:port, an integer or a text that no command can encode, and deeply nested JSON were accepted or caused an internal error. All of them now raise BadInputError, and its message quotes at most 80 characters.

--- a/src/apricotvale/platform/wire.py
+++ b/src/apricotvale/platform/wire.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import ipaddress
 import json
 from typing import Any
 
@@ -32,6 +33,11 @@
 }
 STANDING_BY_NAME = {"ready": Standing.READY, "draining": Standing.DRAINING}
 ITEM_STATE_NAMES = {ItemState.COMPLETED: "completed", ItemState.FAILED: "errored"}
+MAX_PORT = 65_535
+# The largest integer that the encoding of commands holds.
+MAX_INTEGER = 2**63 - 1
+# Characters of a malformed value that are logged.
+MAX_EXCERPT = 80
 LOAD_MODE_NAMES = {LoadMode.FINISH: "hold", LoadMode.CONTINUE: "retain"}
 
 
@@ -41,7 +47,10 @@
     :raises BadInputError: if the body is not valid JSON or not an object.
     """
     with bad_input():
-        document = json.loads(body)
+        try:
+            document = json.loads(body)
+        except RecursionError as error:
+            raise BadInputError("the body is nested too deeply") from error
     if not isinstance(document, dict):
         raise BadInputError("the body is not a JSON object")
     return document
@@ -66,6 +75,28 @@
     return value
 
 
+def natural_field(document: dict[str, Any], name: str, default: Any = ...) -> int:
+    """Return a field that is a non-negative integer and can be encoded in a command."""
+    value = typed_field(document, name, int, default)
+    if not 0 <= value <= MAX_INTEGER:
+        raise BadInputError(f"field {name!r} is not between 0 and 2**63 - 1")
+    return int(value)
+
+
+def check_text(name: str, text: str, may_be_empty: bool = False) -> str:
+    """Return a text after checking that it can be encoded in a command."""
+    if not (text or may_be_empty):
+        raise BadInputError(f"field {name!r} is empty")
+    with bad_input():
+        text.encode()
+    return text
+
+
+def excerpt(text: str) -> str:
+    """Return the beginning of a text for an error message, which is logged in one line."""
+    return ascii(text[:MAX_EXCERPT])
+
+
 # Route table
 
 
@@ -155,32 +186,47 @@
     document = read_json(body)
     standing = STANDING_BY_NAME.get(typed_field(document, "state", str))
     if standing is None:
-        raise BadInputError(f"unknown upstream state {document['state']!r}")
-    address = typed_field(document, "address", str)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise BadInputError(f"address {address!r} is not of the form host:port")
+        raise BadInputError(f"unknown upstream state {excerpt(document['state'])}")
+    check_text("id", upstream_id)
     return Upstream(
         upstream_id,
         # Upstreams of some deployments omit the start time; those get a new id at each start.
-        typed_field(document, "born", int, 0),
-        typed_field(document, "sequence", int),
-        typed_field(document, "service", str),
-        address,
-        typed_field(document, "zone", str),
-        typed_field(document, "capacity", int),
+        natural_field(document, "born", 0),
+        natural_field(document, "sequence"),
+        check_text("service", typed_field(document, "service", str)),
+        parse_address(typed_field(document, "address", str)),
+        check_text("zone", typed_field(document, "zone", str), may_be_empty=True),
+        natural_field(document, "capacity"),
         standing,
-        typed_field(document, "version", str, ""),
-        parse_models(document),
+        check_text("version", typed_field(document, "version", str, ""), may_be_empty=True),
+        parse_models(document, []),
     )
 
 
-def parse_models(document: dict[str, Any]) -> dict[str, int]:
-    """Decode the weight version of each model."""
+def parse_address(address: str) -> str:
+    """Return an address after checking that it consists of an IP address and a port."""
+    host, _, port = address.rpartition(":")
+    bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        parsed = ipaddress.ip_address(host[1:-1] if bracketed else host)
+        is_port = port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+        is_valid = is_port and bracketed == (parsed.version == 6)
+    except ValueError:
+        is_valid = False
+    if not is_valid:
+        raise BadInputError(f"address {excerpt(address)} is not of the form ip:port")
+    return address
+
+
+def parse_models(document: dict[str, Any], default: Any = ...) -> dict[str, int]:
+    """Decode the weight version of each model.
+
+    :param default: the models if the field is missing; without it the field is required.
+    """
     with bad_input():
         return {
-            typed_field(model, "name", str): typed_field(model, "version", int)
-            for model in typed_field(document, "models", list, [])
+            check_text("name", typed_field(model, "name", str)): natural_field(model, "version")
+            for model in typed_field(document, "models", list, default)
         }
 
 
@@ -193,7 +239,7 @@
     """
     document = read_json(body)
     return EngineReport(
-        typed_field(document, "sequence", int),
+        natural_field(document, "sequence"),
         typed_field(document, "busy", bool),
         parse_models(document),
     )
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -124,10 +124,41 @@
         {"born": True},
         {"sequence": None},
         {"state": "resting"},
+        {"born": -1},
+        {"born": 2**63},
+        {"born": None},
+        {"sequence": -1},
+        {"sequence": "4"},
+        {"sequence": False},
+        {"state": None},
+        {"state": ["ready"]},
         {"address": "nowhere"},
+        {"address": "nowhere:8080"},
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:70000"},
+        {"address": "10.0.0.1:\u0663"},
+        {"address": "10.0.0.1:80/x"},
+        {"address": "10.0.0:80"},
+        {"address": "::1:80"},
+        {"address": ["10.0.0.1", 80]},
+        {"capacity": -1},
+        {"capacity": True},
+        {"capacity": "8"},
+        {"capacity": 8.0},
+        {"capacity": 10**30},
         {"service": 3},
+        {"service": ""},
+        {"service": "\ud800"},
+        {"zone": None},
+        {"version": 3},
         {"models": [{"name": "m0"}]},
         {"models": [3]},
+        {"models": [{"name": "m0", "version": True}]},
+        {"models": [{"name": "m0", "version": -1}]},
+        {"models": {"m0": 3}},
+        {"models": None},
     ],
 )
 def test_an_invalid_heartbeat_is_rejected(changes):
@@ -135,6 +166,52 @@
         wire.parse_heartbeat("i-7", body(HEARTBEAT, **changes))
 
 
+REQUIRED_FIELDS = ("service", "address", "zone", "capacity", "state", "sequence")
+
+
+@pytest.mark.parametrize("name", REQUIRED_FIELDS)
+def test_a_heartbeat_without_a_required_field_is_rejected(name):
+    """Guards against a default that registers an upstream of another writer."""
+    document = {key: value for key, value in HEARTBEAT.items() if key != name}
+    with pytest.raises(BadInputError):
+        wire.parse_heartbeat("i-7", body(document))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xfe\x00",
+        b"[]",
+        b"3",
+        b"null",
+        body(HEARTBEAT)[:-9],
+        b"[" * 200_000,
+        b'{"service":' * 100_000,
+        b'{"capacity": ' + b"9" * 5_000 + b"}",
+        b'{"capacity": NaN}',
+    ],
+)
+def test_bytes_that_are_no_heartbeat_or_report_are_rejected(data):
+    """Guards against an error other than BadInputError, which would be answered with 500."""
+    with pytest.raises(BadInputError):
+        wire.parse_heartbeat("i-7", data)
+    with pytest.raises(BadInputError):
+        wire.parse_report(data)
+
+
+def test_an_error_names_only_the_beginning_of_a_malformed_value():
+    """Guards against log lines as long as the input."""
+    with pytest.raises(BadInputError) as caught:
+        wire.parse_heartbeat("i-7", body(HEARTBEAT, address="x\n" * 10_000))
+    message = caught.value.format_message()
+    assert len(message) < 300 and "\n" not in message
+
+
+def test_an_address_may_be_of_version_6():
+    assert wire.parse_heartbeat("i-7", body(HEARTBEAT, address="[::1]:80")).address == "[::1]:80"
+
+
 def test_a_heartbeat_without_a_start_time_is_accepted():
     document = {name: value for name, value in HEARTBEAT.items() if name != "born"}
     assert wire.parse_heartbeat("i-7", body(document)).born_ms == 0
@@ -196,6 +273,33 @@
     )
 
 
+REPORT = {"models": HEARTBEAT["models"], "busy": False, "sequence": 2}
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"sequence": None},
+        {"sequence": -1},
+        {"sequence": True},
+        {"sequence": 2.0},
+        {"busy": 0},
+        {"busy": "no"},
+        {"models": None},
+        {"models": [{"name": "m0", "version": "3"}]},
+    ],
+)
+def test_an_invalid_report_is_rejected(changes):
+    with pytest.raises(BadInputError):
+        wire.parse_report(body(REPORT, **changes))
+
+
+@pytest.mark.parametrize("name", REPORT)
+def test_a_report_without_a_field_is_rejected(name):
+    with pytest.raises(BadInputError):
+        wire.parse_report(body({key: value for key, value in REPORT.items() if key != name}))
+
+
 def test_a_report_counts_orders():
     report = wire.parse_report(
         body({"models": HEARTBEAT["models"], "busy": False, "sequence": 2, "waiting": 1})
