Send no new work to upstreams that state that they leave

An upstream that leaves says so in its answers (Server-Leaving: 1) while its heartbeats may still say that it is ready. The process that receives such an answer marks the incarnation in its view before it passes the answer on, and reports it to control, which commits the mark. A later ready heartbeat of the incarnation is recorded as draining; a new incarnation starts without the mark.

Control also rejects well-formed heartbeats that are not of the deployment: those without a start time beside upstreams that state one, of a service that the table does not name, or of a known incarnation without its models.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -20,6 +20,7 @@
 from apricotvale.daemons.fleet_link import FLEET
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.job_runner import SAVE_INTERVAL_S, JobRunner
+from apricotvale.daemons.leaving import LeavingReporter
 from apricotvale.daemons.link import ControlClient
 from apricotvale.daemons.load_scheduler import LoadScheduler
 from apricotvale.daemons.peers import Peers
@@ -98,7 +99,8 @@
         storage = Storage(self.disk, settings.name)
         self.replica = Replica(peers, storage, TIMING, self.on_applied, self.state)
         self.view = RegistryView()
-        forwarder = Forwarder(settings.site, self.view, client)
+        self.leaving = LeavingReporter(self.view, self.call)
+        forwarder = Forwarder(settings.site, self.view, client, self.leaving.on_leaving)
         self.runner = JobRunner(self.state, client, forwarder, self.commit_internal, version_field)
         self.load_scheduler = LoadScheduler(
             self.state,
@@ -128,7 +130,12 @@
         service = ControlService(self.on_call, self.replica.receive_batch, FLEET)
         server = make_server(service)
         await server.start(self.settings.ip, self.settings.internal_port)
-        async with TaskGroup() as tasks, self.runner.tasks, self.load_scheduler.tasks:
+        async with (
+            TaskGroup() as tasks,
+            self.runner.tasks,
+            self.load_scheduler.tasks,
+            self.leaving.tasks,
+        ):
             work = (self.replica.run(), self.run_leader_tasks(), self.save_progress())
             needed = [tasks.start(part) for part in work]
             events.emit(events.STARTED, listen=self.settings.internal_address)
@@ -203,6 +210,8 @@
             case calls.Leave():
                 events.emit(events.MEMBER_LEFT, member=request.upstream_id, why="leaving")
                 return await self.commit(c.Depart(request.upstream_id))
+            case calls.ReportLeaving():
+                return await self.on_report_leaving(request)
             case calls.PutTable():
                 return await self.on_put_table(request)
             case calls.PublishVersion():
@@ -314,6 +323,9 @@
                 held=last.order if last else None,
             )
             return calls.Accepted()
+        why = self.rejection(upstream)
+        if why:
+            return calls.HeartbeatRejected(why)
         self.last_heartbeats[upstream.upstream_id] = LastHeartbeat(upstream.order, clock.now())
         if not self.state.registry.is_change(upstream):
             return calls.Accepted()
@@ -329,6 +341,42 @@
         )
         return reply
 
+    def rejection(self, upstream: Upstream) -> str:
+        """Return why a heartbeat must have no effect, empty if it may have one.
+
+        Load pattern: another program sends heartbeats that are well-formed but not of this
+        deployment. Before the first table, and for upstreams that are registered with the service,
+        every service is accepted, so that a table that comes late or removes a service for a while
+        delays no upstream.
+        """
+        registry = self.state.registry
+        if not registry.is_change(upstream):
+            return ""
+        if registry.is_foreign(upstream):
+            return "no start time, which the registered upstreams state"
+        current = registry.state.upstreams.get(upstream.upstream_id)
+        same_start = current is not None and current.born_ms == upstream.born_ms
+        if same_start and current is not None and current.models and not upstream.models:
+            return "no models, unlike earlier heartbeats of this incarnation"
+        table = self.runner.table
+        same_service = current is not None and current.service == upstream.service
+        if table is not None and upstream.service not in table.services and not same_service:
+            return f"unknown service {upstream.service[:80]!r}"
+        return ""
+
+    async def on_report_leaving(self, request: calls.ReportLeaving) -> Any:
+        """Commit the mark of an upstream that leaves, unless it is known already."""
+        if self.state.registry.is_leaving(request.upstream_id, request.born_ms):
+            return calls.Accepted()
+        reply = await self.commit(c.MarkLeaving(request.upstream_id, request.born_ms))
+        events.emit(
+            events.LEAVING_COMMITTED,
+            upstream=f"{request.upstream_id}@{request.born_ms}",
+            registry=self.state.registry.state.position,
+            outcome=type(reply).__name__,
+        )
+        return reply
+
     async def on_retire(self, name: str) -> Any:
         """Start retiring a replica unless too few responsive members would remain."""
         members = self.replica.node.group.members
--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -10,6 +10,7 @@
 from apricotvale import clock, events, metrics
 from apricotvale.daemons.fleet_link import FleetLink
 from apricotvale.daemons.forwarder import Forwarder
+from apricotvale.daemons.leaving import LeavingReporter
 from apricotvale.daemons.link import ATTEMPT_TIMEOUT_S
 from apricotvale.daemons.runtime import TaskGroup, wait_event, wait_until_stopped
 from apricotvale.outcomes import Reason, Refusal, not_run
@@ -44,7 +45,8 @@
     ) -> None:
         self.settings = settings
         self.link = FleetLink(settings.contact_addresses(), parse_table)
-        self.forwarder = Forwarder(settings.site, self.link.view, client)
+        self.leaving = LeavingReporter(self.link.view, self.link.call)
+        self.forwarder = Forwarder(settings.site, self.link.view, client, self.leaving.on_leaving)
         self.stopping = False
         self.active = 0
         self.idle = asyncio.Event()
@@ -137,7 +139,7 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Follow control until `stop` is set, then serve until the balancer removes the entry."""
-        async with TaskGroup() as tasks:
+        async with TaskGroup() as tasks, self.leaving.tasks:
             await wait_until_stopped(stop, tasks.start(self.link.run()))
             self.stopping = True
             await asyncio.sleep(BALANCER_REMOVAL_S)
--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from apricotvale import clock, events, metrics
 from apricotvale.discovery import RegistryView, Upstream
-from apricotvale.outcomes import Reason, Refusal
-from apricotvale.requests.calls import Answer, Call, UpstreamClient
+from apricotvale.outcomes import Reason, Refusal, not_run
+from apricotvale.requests.calls import Answer, Call, RunStream, UpstreamClient
 from apricotvale.requests.forwarding import ForwardedRequest
 from apricotvale.requests.routing import Router
 from apricotvale.routes import Route
@@ -25,11 +26,20 @@
     :param site: failure domain of the process; its upstreams are preferred at equal cost.
     :param view: the known upstreams.
     :param client: HTTP client for upstreams.
+    :param on_leaving: called with each upstream that states that it leaves, before its answer is
+        passed on.
     """
 
-    def __init__(self, site: str, view: RegistryView, client: UpstreamClient) -> None:
+    def __init__(
+        self,
+        site: str,
+        view: RegistryView,
+        client: UpstreamClient,
+        on_leaving: Callable[[Upstream], None],
+    ) -> None:
         self.view = view
         self.client = client
+        self.on_leaving = on_leaving
         self.rng = random.Random()
         self.router = Router(site, Routing(), self.rng)
 
@@ -89,12 +99,16 @@
 
     async def send(self, upstream: Upstream, call: Call) -> Answer | Refusal:
         """Send one attempt, and report its success or failure to the router."""
+        if self.is_leaving(upstream):
+            # Another answer carried the mark after this upstream was chosen.
+            return not_run(Reason.DRAINING, "the upstream leaves")
         started_at = clock.now()
         self.router.begin(upstream)
         try:
             result = await self.client.call(upstream, call)
         finally:
             self.router.end(upstream)
+        self.note_leaving(upstream, result)
         outcome = result.reason if isinstance(result, Refusal) else str(result.status)
         metrics.ATTEMPTS_TOTAL.labels(outcome).inc()
         if not isinstance(result, Refusal):
@@ -113,6 +127,15 @@
             events.emit(events.EJECTED, upstream=upstream.incarnation)
         return result
 
+    def is_leaving(self, upstream: Upstream) -> bool:
+        """Return whether the upstream stated to this process that it leaves."""
+        return upstream.incarnation in self.view.leaving
+
+    def note_leaving(self, upstream: Upstream, result: Answer | RunStream | Refusal) -> None:
+        """Report an upstream whose result states that it leaves."""
+        if result.is_leaving:
+            self.on_leaving(upstream)
+
     def final_result(self, request: ForwardedRequest, call: Call, now: float) -> Answer | Refusal:
         """Return the result of a request whose attempts gave no final answer; log a refusal."""
         result = request.final_result(now, RETRY_AFTER_S)
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -242,7 +242,7 @@
         engines = [
             upstream
             for upstream in self.state.registry.state.upstreams.values()
-            if upstream.service in services
+            if upstream.service in services and not self.forwarder.is_leaving(upstream)
         ]
         memory_tokens = min((self.memory_tokens(service) for service in services), default=0)
         demand = demand_of(job, item)
@@ -310,7 +310,10 @@
         )
         why = ""
         try:
+            if self.forwarder.is_leaving(engine):
+                return None
             async with self.client.run(engine, request) as stream:
+                self.forwarder.note_leaving(engine, stream)
                 if isinstance(stream, Answer):
                     return self.handle_error_answer(route, run, engine, usage, stream)
                 if isinstance(stream, Refusal):
--- a/src/apricotvale/discovery/registry.py
+++ b/src/apricotvale/discovery/registry.py
@@ -94,6 +94,8 @@
     :param changed_at: position of the last change, by upstream.
     :param departed_at: position of the removal, by upstream.
     :param forgotten_at: position of the newest removal whose record was dropped.
+    :param leaving: `born_ms` of the incarnations that stated in an answer that they leave, by
+        upstream.
     """
 
     position: int = 0
@@ -102,6 +104,7 @@
     departed: dict[str, Departed] = field(factory=dict)
     departed_at: dict[str, int] = field(factory=dict)
     forgotten_at: int = 0
+    leaving: dict[str, int] = field(factory=dict)
 
 
 class Registry:
@@ -115,7 +118,7 @@
         if not self.is_current(upstream):
             return False
         current = self.state.upstreams.get(upstream.upstream_id)
-        return current is None or current.differs(upstream)
+        return current is None or current.differs(self.with_mark(upstream))
 
     def is_current(self, upstream: Upstream) -> bool:
         """Return whether a heartbeat is not out of date.
@@ -146,11 +149,56 @@
         for other in list(self.state.upstreams.values()):
             if other.address == upstream.address and other.upstream_id != upstream.upstream_id:
                 self.remove(other, position)
+        if not self.is_leaving(upstream.upstream_id, upstream.born_ms):
+            self.state.leaving.pop(upstream.upstream_id, None)
+        self.record(self.with_mark(upstream), position)
+        return True
+
+    def record(self, upstream: Upstream, position: int) -> None:
+        """Replace the description of an upstream."""
         self.state.upstreams[upstream.upstream_id] = upstream
         self.state.changed_at[upstream.upstream_id] = position
         self.state.position = position
+
+    def is_leaving(self, upstream_id: str, born_ms: int) -> bool:
+        """Return whether this incarnation has stated in an answer that it leaves."""
+        return self.state.leaving.get(upstream_id) == born_ms
+
+    def with_mark(self, upstream: Upstream) -> Upstream:
+        """Return a heartbeat's upstream, as draining if it is marked as leaving.
+
+        Load pattern: an upstream announces in its answers that it leaves, while its heartbeats go
+        on to say that it is ready.
+        """
+        ready = upstream.standing is Standing.READY
+        if ready and self.is_leaving(upstream.upstream_id, upstream.born_ms):
+            return evolve(upstream, standing=Standing.DRAINING)
+        return upstream
+
+    def mark_leaving(self, upstream_id: str, born_ms: int, position: int) -> bool:
+        """Mark an incarnation as leaving; return whether that is news.
+
+        A registered upstream that is ready becomes draining. Another incarnation under the same id
+        is not affected.
+        """
+        current = self.state.upstreams.get(upstream_id)
+        if current is None or current.born_ms != born_ms or self.is_leaving(upstream_id, born_ms):
+            return False
+        self.state.leaving[upstream_id] = born_ms
+        if current.standing is Standing.READY:
+            self.record(evolve(current, standing=Standing.DRAINING), position)
         return True
 
+    def is_foreign(self, upstream: Upstream) -> bool:
+        """Return whether a heartbeat without a start time is among upstreams that state one.
+
+        Another writer's heartbeat then neither registers nor changes an upstream. Without a start
+        time it could not be told from a restart or from a late heartbeat.
+        """
+        return not upstream.born_ms and any(
+            other.born_ms > 0 for other in self.state.upstreams.values()
+        )
+
     def depart(self, upstream_id: str, position: int) -> bool:
         """Remove a departing upstream; return whether it was registered."""
         current = self.state.upstreams.get(upstream_id)
@@ -172,9 +220,7 @@
             or current.standing is Standing.SILENT
         ):
             return False
-        self.state.upstreams[upstream_id] = evolve(current, standing=Standing.SILENT)
-        self.state.changed_at[upstream_id] = position
-        self.state.position = position
+        self.record(evolve(current, standing=Standing.SILENT), position)
         return True
 
     def remove(self, upstream: Upstream, position: int) -> None:
@@ -182,6 +228,7 @@
         state = self.state
         del state.upstreams[upstream.upstream_id]
         state.changed_at.pop(upstream.upstream_id, None)
+        state.leaving.pop(upstream.upstream_id, None)
         state.departed[upstream.upstream_id] = Departed(
             upstream.upstream_id, upstream.born_ms, upstream.sequence
         )
@@ -212,10 +259,15 @@
 
 @define
 class RegistryView:
-    """A process's local copy of the registry."""
+    """A process's local copy of the registry.
+
+    :param leaving: incarnations that stated to this process that they leave. They get no new
+        work here, whatever control knows of them, until they are removed.
+    """
 
     position: int = -1
     upstreams: dict[str, Upstream] = field(factory=dict)
+    leaving: set[str] = field(factory=set)
 
     def apply(self, delta: UpstreamDelta) -> None:
         """Apply a delta; a delta older than the view is ignored."""
@@ -228,11 +280,27 @@
         for upstream_id in delta.removed:
             self.upstreams.pop(upstream_id, None)
         self.position = delta.position
+        if self.leaving:
+            self.leaving &= {upstream.incarnation for upstream in self.upstreams.values()}
+
+    def mark_leaving(self, incarnation: str) -> bool:
+        """Mark an incarnation as leaving; return whether it was not marked before."""
+        if incarnation in self.leaving:
+            return False
+        self.leaving.add(incarnation)
+        return True
+
+    def holds(self, upstream: Upstream) -> bool:
+        """Return whether this incarnation is in the view."""
+        current = self.upstreams.get(upstream.upstream_id)
+        return current is not None and current.born_ms == upstream.born_ms
 
     def ready(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that accept new work."""
         return [
             upstream
             for upstream in self.upstreams.values()
-            if upstream.service == service and upstream.standing is Standing.READY
+            if upstream.service == service
+            and upstream.standing is Standing.READY
+            and upstream.incarnation not in self.leaving
         ]
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -105,6 +105,16 @@
 RUNNER_STARTED = event(416, "runner-started", "INFO", "A new leader starts to run the open jobs.")
 RUNNER_STOPPED = event(417, "runner-stopped", "INFO", "A former leader stopped all its runs.")
 
+UPSTREAM_LEAVING = event(
+    350,
+    "upstream-leaving",
+    "INFO",
+    "An upstream stated in an answer that it leaves; this process sends it no new work.",
+)
+LEAVING_COMMITTED = event(
+    351, "leaving-committed", "INFO", "Control marked an upstream as leaving, with the outcome."
+)
+
 ROLE_CHANGED = event(500, "role-changed", "INFO", "A control replica's role or term changed.")
 JOINING = event(501, "joining", "WARNING", "A replica with a new data folder asks to join.")
 GROUP_FORMED = event(502, "group-formed", "INFO", "The first group of replicas was formed.")
--- a/src/apricotvale/fleet/calls.py
+++ b/src/apricotvale/fleet/calls.py
@@ -43,6 +43,14 @@
     upstream_id: str
 
 
+@frozen
+class ReportLeaving:
+    """Report that an incarnation of an upstream stated in an answer that it leaves."""
+
+    upstream_id: str
+    born_ms: int
+
+
 @frozen
 class PublishVersion:
     """Publish a trainer's newest weight version of a model."""
@@ -114,6 +122,7 @@
     | ReadTable
     | Heartbeat
     | Leave
+    | ReportLeaving
     | PublishVersion
     | Retire
     | ReadRetirement
@@ -137,6 +146,13 @@
     """The object named in the request does not exist."""
 
 
+@frozen
+class HeartbeatRejected:
+    """The heartbeat is not one of this deployment's upstreams and had no effect."""
+
+    why: str
+
+
 @frozen
 class JobsFull:
     """The job was rejected and will not run: the jobs held leave no room for it."""
@@ -198,6 +214,7 @@
     | PartRead
     | Accepted
     | NotFound
+    | HeartbeatRejected
     | JobsFull
     | TooFewLeft
     | TableRead
--- a/src/apricotvale/fleet/commands.py
+++ b/src/apricotvale/fleet/commands.py
@@ -30,6 +30,14 @@
     upstream_id: str
 
 
+@frozen
+class MarkLeaving:
+    """Mark an incarnation that stated in an answer that it leaves."""
+
+    upstream_id: str
+    born_ms: int
+
+
 @frozen
 class Silence:
     """Mark an upstream as silent after missing heartbeats.
@@ -105,6 +113,7 @@
     PutTable
     | Announce
     | Depart
+    | MarkLeaving
     | Silence
     | PublishVersion
     | AcceptJob
--- a/src/apricotvale/fleet/state.py
+++ b/src/apricotvale/fleet/state.py
@@ -85,6 +85,10 @@
                 return c.Applied(self.registry.announce(command.upstream, index))
             case c.Depart():
                 return c.Applied(self.registry.depart(command.upstream_id, index))
+            case c.MarkLeaving():
+                return c.Applied(
+                    self.registry.mark_leaving(command.upstream_id, command.born_ms, index)
+                )
             case c.Silence():
                 return c.Applied(
                     self.registry.mark_silent(
--- a/src/apricotvale/outcomes.py
+++ b/src/apricotvale/outcomes.py
@@ -72,12 +72,14 @@
 
     :param ran: whether the request was executed.
     :param retry_after_s: delay before the caller may retry, in seconds.
+    :param is_leaving: whether the upstream stated in its answer that it leaves.
     """
 
     reason: Reason
     ran: Ran
     detail: str = ""
     retry_after_s: float | None = None
+    is_leaving: bool = False
 
     @property
     def status(self) -> int:
--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -10,6 +10,7 @@
 from functools import partial
 
 import aiohttp
+import attrs
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
@@ -93,6 +94,8 @@
 
     async def call(self, upstream: Upstream, call: Call) -> Answer | Refusal:
         """Send a request and return the complete answer, or why there is none."""
+        is_leaving = False
+        result: Answer | Refusal
         left_s = call.deadline - clock.now()
         if left_s <= 0:
             return not_run(Reason.DEADLINE_EXPIRED)
@@ -114,11 +117,11 @@
                     allow_redirects=False,
                 ) as response,
             ):
-                return await read_answer(response, call.request_id)
-        except TimeoutError as error:
-            return refusal_from_error(error)
+                is_leaving = says_leaving(response)
+                result = await read_answer(response, call.request_id)
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return refusal_from_error(error)
+            result = refusal_from_error(error)
+        return attrs.evolve(result, is_leaving=is_leaving) if is_leaving else result
 
     @asynccontextmanager
     async def run(
@@ -154,6 +157,8 @@
                         result = await read_answer(response, request.request_id)
             except (aiohttp.ClientError, OSError, ValueError) as error:
                 result = refusal_from_error(error)
+            if response is not None and says_leaving(response):
+                result = with_leaving(result)
             yield result
         finally:
             if response is not None:
@@ -207,6 +212,7 @@
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         self.response = response
         self.version = int(response.headers.get(names.WEIGHT_VERSIONS, "0"))
+        self.is_leaving = says_leaving(response)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the stream's bytes.
@@ -234,6 +240,21 @@
     return response.headers.get(names.REQUEST_ID) == request_id
 
 
+def says_leaving(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the upstream states that it leaves.
+
+    The statement of a misdirected request's answer concerns another upstream at the address.
+    """
+    return (
+        response.headers.get(names.SERVER_LEAVING) == "1" and response.status != MISDIRECTED_STATUS
+    )
+
+
+def with_leaving(result: PlatformRun | Answer | Refusal) -> PlatformRun | Answer | Refusal:
+    """Return the result of an upstream that leaves; a stream states it by itself."""
+    return result if isinstance(result, PlatformRun) else attrs.evolve(result, is_leaving=True)
+
+
 def delimits_body(response: aiohttp.ClientResponse) -> bool:
     """Return whether a response delimits its body by chunked encoding or a content length."""
     chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
--- a/src/apricotvale/platform/interface.py
+++ b/src/apricotvale/platform/interface.py
@@ -59,7 +59,12 @@
             upstream = wire.parse_heartbeat(request.match_info["id"], await request.read())
         except BadInputError as error:
             return rejection_response("heartbeat", error, upstream=request.match_info["id"])
-        return await self.answer(calls.Heartbeat(upstream), CALL_TIMEOUT_S)
+        reply = await self.control.call(calls.Heartbeat(upstream), clock.now() + CALL_TIMEOUT_S)
+        if isinstance(reply, calls.HeartbeatRejected):
+            return rejection_response(
+                "heartbeat", BadInputError(reply.why), upstream=upstream.incarnation
+            )
+        return status_response(reply)
 
     async def on_leave(self, request: web.Request) -> web.Response:
         """Remove an upstream from the registry at its own request."""
--- a/src/apricotvale/platform/names.py
+++ b/src/apricotvale/platform/names.py
@@ -10,6 +10,8 @@
 NOT_EXECUTED = "Not-Executed"
 # An upstream's signature of its answer.
 SERVER_STAMP = "Server-Stamp"
+# Present with the value 1 in all answers of an upstream that leaves.
+SERVER_LEAVING = "Server-Leaving"
 LAST_EVENT_ID = "Last-Event-Id"
 # A single number despite the plural: the version under which the run began.
 WEIGHT_VERSIONS = "Weight-Versions"
--- a/src/apricotvale/requests/calls.py
+++ b/src/apricotvale/requests/calls.py
@@ -37,6 +37,7 @@
 
     :param signature: the upstream's signature of the answer, empty if it sent none.
     :param server_errors: number of server errors that earlier attempts of the request received.
+    :param is_leaving: whether the upstream stated that it leaves.
     """
 
     status: int
@@ -44,6 +45,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     signature: str = ""
     server_errors: int = 0
+    is_leaving: bool = False
 
 
 @frozen
@@ -62,9 +64,10 @@
 
 
 class RunStream(Protocol):
-    """An open event stream and the weight version that it started with."""
+    """An open event stream, its weight version at the start, and whether the engine leaves."""
 
     version: int
+    is_leaving: bool
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the stream's bytes; raise TruncatedStreamError if the stream ends early."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -44,6 +44,10 @@
     :param fence: the highest fencing token accepted.
     :param aborted_connections: number of connections that the client closed or that failed.
     :param readers: readers of all connections, open and closed.
+    :param leaving: whether all answers say that the upstream leaves.
+    :param born: start time in its heartbeats.
+    :param read_s: pause before it reads the body of a request, in seconds.
+    :param body: body of a good answer; None for one that names the request.
     """
 
     upstream_id: str
@@ -59,6 +63,10 @@
     server: asyncio.Server | None = None
     writers: set = field(factory=set)
     readers: list = field(factory=list)
+    leaving: bool = False
+    born: int = 1
+    read_s: float = 0.0
+    body: bytes | None = None
 
     @property
     def address(self):
@@ -85,7 +93,7 @@
             "cold_remaining_ms": 0,
             "models": [{"name": n, "version": v} for n, v in self.models.items()],
             "sequence": sequence,
-            "born": 1,
+            "born": self.born,
         }
 
     async def serve(self, reader, writer):
@@ -105,6 +113,7 @@
         request_line, *lines = head.rstrip().split("\r\n")
         method, target, _ = request_line.split(" ")
         headers = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in lines)}
+        await asyncio.sleep(self.read_s)
         body = await reader.readexactly(int(headers.get("content-length", "0")))
         self.requests.append(RecordedRequest(method, target, headers, body))
         if target == "/api/report":
@@ -135,6 +144,7 @@
     async def send(self, writer, status, headers, body, length=None):
         lines = [f"HTTP/1.1 {status} Word"]
         lines += [f"{name}: {value}" for name, value in headers]
+        lines += ["Server-Leaving: 1"] * self.leaving
         if length != "none":
             lines.append(f"Content-Length: {len(body) if length is None else length}")
         writer.write("\r\n".join([*lines, "", ""]).encode() + body)
@@ -144,7 +154,7 @@
     async def answer(self, writer, headers):
         request_id = headers.get("request-id", "")
         valid_headers = [("Request-Id", request_id), ("Server-Stamp", f"stamp-{request_id}")]
-        body = f"body of {request_id}".encode()
+        body = f"body of {request_id}".encode() if self.body is None else self.body
         match self.behaviour:
             case "good":
                 return await self.send(writer, 200, valid_headers, body)
@@ -190,6 +200,7 @@
         lines = [f"{name}: {value}" for name, value in valid_headers]
         start = int(headers.get("last-event-id", "-1")) + 1
         lines.append("Transfer-Encoding: chunked")
+        lines += ["Server-Leaving: 1"] * self.leaving
         if start < self.events:
             lines.append(f"Weight-Versions: {version}")
         writer.write("\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -89,3 +89,11 @@
     view.apply(registry.since(-1))
     view.apply(old)
     assert view.ready("desk") == []
+
+
+def test_a_heartbeat_without_start_time_is_foreign_beside_upstreams_that_state_one(registry):
+    """Guards against another writer's heartbeat that registers or replaces an upstream."""
+    assert registry.is_foreign(evolve(FIRST, upstream_id="i-2", born_ms=0))
+    assert not registry.is_foreign(evolve(FIRST, upstream_id="i-2", born_ms=1))
+    registry.depart("i-1", 2)
+    assert not registry.is_foreign(evolve(FIRST, upstream_id="i-2", born_ms=0))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -153,6 +153,29 @@
     assert (await site.request("/fees/1"))[0] == 200
 
 
+@pytest.mark.parametrize(
+    ("upstream_id", "changes"),
+    [
+        ("d-9", {"capacity": -1}),
+        ("d-0", {"address": "nowhere:80", "sequence": 99}),
+        ("d-9", {"service": "unknown", "address": "127.0.0.1:9"}),
+        ("d-0", {"service": "unknown", "born": 2}),
+        ("d-9", {"born": 0, "address": "127.0.0.1:9"}),
+        ("e-0", {"models": [], "sequence": 99}),
+    ],
+)
+async def test_a_heartbeat_of_another_writer_changes_nothing(site, upstream_id, changes):
+    """Guards against upstreams that another program registers, replaces or changes."""
+    leader = next(control for control in site.controls if control.replica.leads)
+    before = dict(leader.state.registry.state.upstreams)
+    standin = site.engines[0] if upstream_id == "e-0" else site.desks[0]
+    document = {**standin.heartbeat(50), **changes}
+    for at in range(3):
+        path = f"/api/replicas/{upstream_id}"
+        assert (await site.control_call("PUT", path, document, at=at))[0] == 400
+    assert leader.state.registry.state.upstreams == before
+
+
 async def test_the_entry_is_ready_with_a_table(site):
     async with site.session.get(site.readiness) as response:
         assert response.status == 200
