Bound the bytes that an entry holds for callers and upstreams

Nothing limited the memory for request bodies and answers: many large bodies at once, or callers that read large answers slowly, could exceed an entry's memory, and a slow upstream could be sent more than it can hold.

With memory_mb set, an entry counts these bytes until they are sent. It refuses a request beyond a quarter of its memory (503, before the body is read if its length is stated), sends an upstream at most a sixteenth of that at a time, and disconnects a caller that reads nothing for 5 s. The kernel's send queue counts as well, because the process's own buffer only shrinks in large steps. With memory_mb = 0 nothing of this is active.

--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -15,6 +15,7 @@
 from apricotvale.daemons.runtime import TaskGroup, wait_event, wait_until_stopped
 from apricotvale.outcomes import Reason, Refusal, not_run
 from apricotvale.requests.calls import Answer, Call, UpstreamClient
+from apricotvale.requests.held_bytes import UPSTREAM_SHARE, ByteBudget, held_limit
 from apricotvale.routes import Limits, Route, RouteTable
 from apricotvale.settings.fleet import FleetSettings
 
@@ -47,6 +48,9 @@
         self.link = FleetLink(settings.contact_addresses(), parse_table)
         self.leaving = LeavingReporter(self.link.view, self.link.call)
         self.forwarder = Forwarder(settings.site, self.link.view, client, self.leaving.on_leaving)
+        self.held = client.held = ByteBudget(held_limit(settings.memory_mb))
+        self.forwarder.sent.limit = int(self.held.limit * UPSTREAM_SHARE)
+        metrics.HELD_BYTES.set_function(lambda: self.held.held)
         self.stopping = False
         self.active = 0
         self.idle = asyncio.Event()
--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -11,6 +11,7 @@
 from apricotvale.outcomes import Reason, Refusal, not_run
 from apricotvale.requests.calls import Answer, Call, RunStream, UpstreamClient
 from apricotvale.requests.forwarding import ForwardedRequest
+from apricotvale.requests.held_bytes import UpstreamBytes
 from apricotvale.requests.routing import Router
 from apricotvale.routes import Route
 from apricotvale.routes.table import choose_services
@@ -40,6 +41,7 @@
         self.view = view
         self.client = client
         self.on_leaving = on_leaving
+        self.sent = UpstreamBytes()
         self.rng = random.Random()
         self.router = Router(site, Routing(), self.rng)
 
@@ -78,7 +80,7 @@
     def choose(self, request: ForwardedRequest, call: Call, now: float) -> Upstream | None:
         """Choose and log the upstream for the next attempt; return None if none is left."""
         for service in choose_services(request.route, self.rng.random):
-            candidates = self.view.ready(service)
+            candidates = self.with_room(self.view.ready(service), service, call)
             if not candidates:
                 continue
             choice = self.router.choose(candidates, now, excluded=request.tried)
@@ -97,16 +99,40 @@
             return choice.member
         return None
 
+    def with_room(self, ready: list[Upstream], service: str, call: Call) -> list[Upstream]:
+        """Return the upstreams to which the bytes of a request may be sent now."""
+        if not self.sent.limit:
+            return ready
+        size = len(call.body)
+        found = [u for u in ready if self.sent.fits(u.incarnation, size)]
+        if ready and not found:
+            metrics.BYTES_REFUSED.labels("upstream").inc()
+            events.emit(
+                events.UPSTREAM_BYTES_FULL,
+                request=call.request_id,
+                service=service,
+                candidates=len(ready),
+                bytes=size,
+                limit=self.sent.limit,
+            )
+        return found
+
     async def send(self, upstream: Upstream, call: Call) -> Answer | Refusal:
         """Send one attempt, and report its success or failure to the router."""
         if self.is_leaving(upstream):
             # Another answer carried the mark after this upstream was chosen.
             return not_run(Reason.DRAINING, "the upstream leaves")
+        size = len(call.body)
+        if not self.sent.fits(upstream.incarnation, size):
+            # Other requests were sent after this upstream was chosen.
+            return not_run(Reason.OVERLOADED, "too many bytes are in flight to the upstream")
         started_at = clock.now()
         self.router.begin(upstream)
+        self.sent.begin(upstream.incarnation, size)
         try:
             result = await self.client.call(upstream, call)
         finally:
+            self.sent.end(upstream.incarnation, size)
             self.router.end(upstream)
         self.note_leaving(upstream, result)
         outcome = result.reason if isinstance(result, Refusal) else str(result.status)
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -114,6 +114,24 @@
 LEAVING_COMMITTED = event(
     351, "leaving-committed", "INFO", "Control marked an upstream as leaving, with the outcome."
 )
+BYTES_REFUSED = event(
+    352,
+    "bytes-refused",
+    "WARNING",
+    "A request was refused unread: the entry holds too many bytes, or the body stalled.",
+)
+UPSTREAM_BYTES_FULL = event(
+    353,
+    "upstream-bytes-full",
+    "WARNING",
+    "No upstream of a service may get a request now: too many bytes are in flight to each.",
+)
+CALLER_CUT = event(
+    354,
+    "caller-cut",
+    "WARNING",
+    "A caller that read nothing for some seconds was disconnected, with the bytes left.",
+)
 
 ROLE_CHANGED = event(500, "role-changed", "INFO", "A control replica's role or term changed.")
 JOINING = event(501, "joining", "WARNING", "A replica with a new data folder asks to join.")
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -31,6 +31,17 @@
 JOB_BYTES = Gauge(
     "apricotvale_job_bytes", "Bytes of jobs and results held, as of the last new job."
 )
+HELD_BYTES = Gauge(
+    "apricotvale_held_bytes", "Bytes of request bodies and answers that this entry holds."
+)
+BYTES_REFUSED = Counter(
+    "apricotvale_bytes_refused",
+    "Requests refused because too many bytes are held, by the bound (entry or upstream).",
+    ["bound"],
+)
+CALLERS_CUT = Counter(
+    "apricotvale_callers_cut", "Callers disconnected because they did not read their answer."
+)
 LOG_LINES_DROPPED = Counter("apricotvale_log_lines_dropped", "Log lines over the bound.")
 METRICS_PATH = "/metrics"
 
--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -20,6 +20,7 @@
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run, unknown
 from apricotvale.platform import names, wire
 from apricotvale.requests.calls import Answer, Call, RunRequest
+from apricotvale.requests.held_bytes import ByteBudget, Hold
 from apricotvale.weights.orders import EngineReport, LoadOrder, OrderOutcome
 
 CONNECT_TIMEOUT_S = 0.5
@@ -73,6 +74,7 @@
 
     def __init__(self) -> None:
         self.session: aiohttp.ClientSession
+        self.held = ByteBudget()
 
     async def __aenter__(self) -> PlatformClient:
         connector = aiohttp.TCPConnector(limit=0, socket_factory=make_socket)
@@ -118,7 +120,7 @@
                 ) as response,
             ):
                 is_leaving = says_leaving(response)
-                result = await read_answer(response, call.request_id)
+                result = await read_answer(response, call.request_id, self.held)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             result = refusal_from_error(error)
         return attrs.evolve(result, is_leaving=is_leaving) if is_leaving else result
@@ -261,8 +263,31 @@
     return chunked or "Content-Length" in response.headers
 
 
-async def read_answer(response: aiohttp.ClientResponse, request_id: str) -> Answer | Refusal:
-    """Read a complete response; return a refusal if it is not a valid answer to the request."""
+async def read_body(response: aiohttp.ClientResponse, held: ByteBudget) -> bytes:
+    """Read a body, counting its bytes as they arrive.
+
+    :raises ValueError: if the body alone exceeds the bound.
+    """
+    if not held.limit:
+        return await response.read()
+    chunks = []
+    with Hold(held) as hold:
+        async for chunk in response.content.iter_any():
+            chunks.append(chunk)
+            hold.resize(hold.size + len(chunk))
+            if hold.size > held.limit:
+                response.close()
+                raise ValueError(f"the answer has more than {held.limit} bytes")
+        return b"".join(chunks)
+
+
+async def read_answer(
+    response: aiohttp.ClientResponse, request_id: str, held: ByteBudget | None = None
+) -> Answer | Refusal:
+    """Read a complete response; return a refusal if it is not a valid answer to the request.
+
+    :param held: counts the bytes of the answer while it is read.
+    """
     if response.status == MISDIRECTED_STATUS:
         return not_run(Reason.WRONG_INCARNATION, "the address now belongs to another upstream")
     if names.NOT_EXECUTED in response.headers:
@@ -272,7 +297,7 @@
         return unknown(Reason.UPSTREAM_GARBLED, "the answer carries the id of another request")
     connection = response.connection
     protocol = connection.protocol if connection else None
-    body = await response.read()
+    body = await read_body(response, held or ByteBudget())
     if isinstance(protocol, ResetRecordingHandler) and protocol.was_reset:
         return unknown(
             Reason.UPSTREAM_LOST, "the connection was reset before the end of the answer"
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -11,7 +11,7 @@
 from apricotvale.exceptions import BadInputError
 from apricotvale.fleet import calls
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run
-from apricotvale.platform import names, wire
+from apricotvale.platform import delivery, names, wire
 from apricotvale.requests.calls import Answer, Call
 from apricotvale.routes import Limits, Route, RouteKind
 
@@ -37,7 +37,9 @@
 
     def make_app(self) -> web.Application:
         """Create the application to serve on the address for callers."""
-        app = web.Application()
+        # Without a known memory nothing is counted.
+        middlewares = [delivery.make_middleware(self.entry)] if self.entry.held.limit else []
+        app = web.Application(middlewares=middlewares)
         app.router.add_get(names.RESULTS_PATH, self.on_results)
         app.router.add_delete(names.RESULTS_PATH, self.on_end_job)
         app.router.add_get(names.ITEM_PATH, self.on_item)
@@ -74,7 +76,8 @@
                 return refusal_response(route, request_id)
             body = await read_body(request, self.entry.limits)
             if isinstance(body, Refusal):
-                events.emit(events.INPUT_REJECTED, request=request_id, error=body.detail)
+                if body.reason is not Reason.OVERLOADED:
+                    events.emit(events.INPUT_REJECTED, request=request_id, error=body.detail)
                 return refusal_response(body, request_id)
             if route.kind is RouteKind.JOB:
                 return await self.submit(request, request_id, body)
@@ -160,7 +163,10 @@
 
 
 async def read_body(request: web.Request, limits: Limits) -> bytes | Refusal:
-    """Read a request's body; return a refusal if the header or the body exceeds the limits."""
+    """Read a request's body; return a refusal if the header or the body exceeds the limits.
+
+    A body with a stated length is refused before it is read if the entry has no room for it.
+    """
     header_bytes = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
     if header_bytes > limits.max_header_bytes:
         detail = (
@@ -171,11 +177,21 @@
     if (request.content_length or 0) > max_bytes:
         detail = f"the body has {request.content_length} bytes, the limit is {max_bytes}"
         return not_run(Reason.BODY_TOO_LARGE, detail)
+    stated_bytes = request.content_length or 0
+    refusal = delivery.claim_bytes(request, stated_bytes)
+    if refusal is not None:
+        return refusal
     body = bytearray()
-    async for chunk in request.content.iter_any():
+    while chunk := await delivery.read_chunk(request):
+        if isinstance(chunk, Refusal):
+            return chunk
         body += chunk
         if len(body) > max_bytes:
             return not_run(Reason.BODY_TOO_LARGE, f"the body has more than {max_bytes} bytes")
+        if not stated_bytes:
+            refusal = delivery.claim_bytes(request, len(chunk))
+            if refusal is not None:
+                return refusal
     return bytes(body)
 
 
--- a/src/apricotvale/requests/calls.py
+++ b/src/apricotvale/requests/calls.py
@@ -10,6 +10,7 @@
 
 from apricotvale.discovery import Upstream
 from apricotvale.outcomes import Refusal
+from apricotvale.requests.held_bytes import ByteBudget
 from apricotvale.weights.orders import EngineReport, LoadOrder, OrderOutcome
 
 
@@ -74,7 +75,12 @@
 
 
 class UpstreamClient(Protocol):
-    """Operations on an upstream. Each refusal states whether the request may have run."""
+    """Operations on an upstream. Each refusal states whether the request may have run.
+
+    `held` counts the bytes of answers that are being read.
+    """
+
+    held: ByteBudget
 
     async def call(self, upstream: Upstream, call: Call) -> Answer | Refusal:
         """Send a request and return the complete answer."""
--- a/src/apricotvale/settings/fleet.py
+++ b/src/apricotvale/settings/fleet.py
@@ -45,6 +45,12 @@
         64,
         least=1,
     )
+    memory_mb: float = option(
+        "memory of the process's VM in MiB, of which an entry holds at most a quarter in request "
+        "bodies and answers; 0 if unknown, for no bound",
+        0.0,
+        least=0,
+    )
     stop_s: float = option("time limit of a graceful shutdown", 8.0, least=0)
     log_level: str = option("DEBUG, INFO, WARNING or ERROR", "INFO")
 
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -84,7 +84,8 @@
 class Site:
     """A running deployment, with methods for the HTTP calls that the platform makes.
 
-    The parameter `at` of these methods is the number of the control replica to call.
+    The parameter `at` of these methods is the number of the control replica to call. `memory_mb` is
+    the memory that the settings of the entry state.
     """
 
     folder: object
@@ -100,6 +101,7 @@
     url: str = ""
     readiness: str = ""
     session: aiohttp.ClientSession | None = None
+    memory_mb: float = 0.0
 
     async def __aenter__(self):
         await self.stack.__aenter__()
@@ -146,7 +148,12 @@
         address = free_address()
         ready = free_address()
         settings = FleetSettings(
-            name="edge-1", site="a", ip="127.0.0.1", contacts=contacts, internal_port=port
+            name="edge-1",
+            site="a",
+            ip="127.0.0.1",
+            contacts=contacts,
+            internal_port=port,
+            memory_mb=self.memory_mb,
         )
         client = await self.stack.enter_async_context(PlatformClient())
         self.entry = FleetEntry(settings, client, wire.parse_table)
