--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -7,6 +7,7 @@
 import pytest
 from attrs import evolve
 
+from apricotvale import events
 from apricotvale.codec import decode, encode
 from apricotvale.discovery import Registry, RegistryState, RegistryView, Standing, Upstream
 from apricotvale.fleet import calls
@@ -241,6 +242,34 @@
     assert leader(site).state.registry.state.upstreams["e-0"].standing is Standing.DRAINING
 
 
+async def test_the_leader_does_not_wait_for_its_own_report(site, monkeypatch):
+    """Guards against items that are placed at a leaving engine until the mark is committed."""
+    placed, emit = [], events.emit
+
+    def record(kind, **fields):
+        if kind is events.ITEM_PLACED:
+            placed.append(fields["upstream"])
+        emit(kind, **fields)
+
+    monkeypatch.setattr(events, "emit", record)
+
+    async def lose(request, deadline):
+        return calls.Unconfirmed("cut off")
+
+    leader(site).leaving.report = lose
+    engine = site.engines[0]
+    engine.leaving = True
+    assert await site.submit("j-1", job(*(item(f"i-{n}") for n in range(8)))) == 202
+    await site.all_results("j-1", 8)
+    count = len(engine.requests)
+    placed.clear()
+    assert await site.submit("j-2", job(*(item(f"k-{n}") for n in range(8)))) == 202
+    await site.all_results("j-2", 8)
+    assert placed == ["e-1@1"] * 8
+    assert leader(site).state.registry.state.upstreams["e-0"].standing is Standing.READY
+    assert count > 0 and len(engine.requests) == count
+
+
 async def test_reward_calls_go_to_no_desk_that_says_leaving(site):
     desk = site.desks[0]
     await leave_by_answer(site, desk)
