--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -175,3 +175,35 @@
     stale_order = LoadOrder("m", 3, LoadMode.CONTINUE, "storage-1", 4, 1)
     assert await client.order(upstream, stale_order) is OrderOutcome.FENCED_OFF
     assert (await client.report(upstream)).models == {"m": 2}
+
+
+@pytest.mark.parametrize("behaviour", ["good", "failing", "full", "unsigned", "truncated", "reset"])
+async def test_every_answer_of_a_leaving_upstream_says_so(client, standin, behaviour):
+    """Guards against a mark that is lost with an answer that is not passed on."""
+    standin.behaviour, standin.leaving = behaviour, True
+    result = await client.call(make_upstream(standin), make_call())
+    # A connection that is reset before an answer says nothing.
+    assert result.is_leaving is (behaviour != "reset")
+    standin.leaving = False
+    assert not (await client.call(make_upstream(standin), make_call("r-2"))).is_leaving
+
+
+async def test_the_field_is_passed_on_with_the_answer(client, standin):
+    standin.leaving = True
+    answer = await client.call(make_upstream(standin), make_call())
+    assert ("Server-Leaving", "1") in answer.headers
+
+
+async def test_a_misdirected_request_says_nothing_about_its_upstream(client, standin):
+    """Guards against a mark on an incarnation whose address another upstream has taken."""
+    standin.leaving = True
+    result = await client.call(make_upstream(standin, "i-9"), make_call())
+    assert result.reason is Reason.WRONG_INCARNATION and not result.is_leaving
+
+
+@pytest.mark.parametrize("behaviour", ["stream", "full", "failing"])
+async def test_a_run_of_a_leaving_engine_says_so(client, standin, behaviour):
+    standin.behaviour, standin.leaving = behaviour, True
+    request = RunRequest("/drafts/1", "h.example", "i-1", b"prompt")
+    async with client.run(make_upstream(standin), request) as stream:
+        assert stream.is_leaving
