--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -11,9 +11,11 @@
 from apricotvale.daemons.fleet_link import FleetLink
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.leader_client import ATTEMPT_TIMEOUT_S
+from apricotvale.daemons.leaving import LeavingReporter
 from apricotvale.daemons.runtime import TaskGroup, wait_event, wait_until_stopped
 from apricotvale.outcomes import Reason, Refusal, not_run
 from apricotvale.requests.calls import Answer, Call, UpstreamClient
+from apricotvale.requests.held_bytes import UPSTREAM_SHARE, ByteBudget, held_limit
 from apricotvale.routes import Limits, Route, RouteTable
 from apricotvale.settings.fleet import FleetSettings
 
@@ -44,7 +46,11 @@
     ) -> None:
         self.settings = settings
         self.link = FleetLink(settings.contact_addresses(), parse_table)
-        self.forwarder = Forwarder(settings.site, self.link.view, client)
+        self.leaving = LeavingReporter(self.link.view, self.link.call)
+        self.forwarder = Forwarder(settings.site, self.link.view, client, self.leaving.on_leaving)
+        self.held = client.held = ByteBudget(held_limit(settings.memory_mb))
+        self.forwarder.sent.limit = int(self.held.limit * UPSTREAM_SHARE)
+        metrics.HELD_BYTES.set_function(lambda: self.held.held)
         self.stopping = False
         self.active = 0
         self.idle = asyncio.Event()
@@ -133,7 +139,7 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Follow control until `stop` is set, then serve until the balancer removes the entry."""
-        async with TaskGroup() as tasks:
+        async with TaskGroup() as tasks, self.leaving.tasks:
             await wait_until_stopped(stop, tasks.start(self.link.run()))
             self.stopping = True
             await asyncio.sleep(BALANCER_REMOVAL_S)
--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -10,6 +10,7 @@
 from functools import partial
 
 import aiohttp
+import attrs
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
@@ -19,6 +20,7 @@
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run, unknown
 from apricotvale.platform import names, wire
 from apricotvale.requests.calls import Answer, Call, RunRequest
+from apricotvale.requests.held_bytes import ByteBudget, Hold
 from apricotvale.weights.orders import EngineReport, LoadOrder, OrderOutcome
 
 CONNECT_TIMEOUT_S = 0.5
@@ -72,6 +74,7 @@
 
     def __init__(self) -> None:
         self.session: aiohttp.ClientSession
+        self.held = ByteBudget()
 
     async def __aenter__(self) -> PlatformClient:
         connector = aiohttp.TCPConnector(limit=0, socket_factory=make_socket)
@@ -93,6 +96,8 @@
 
     async def call(self, upstream: Upstream, call: Call) -> Answer | Refusal:
         """Send a request and return the complete answer, or why there is none."""
+        is_leaving = False
+        result: Answer | Refusal
         left_s = call.deadline - clock.now()
         if left_s <= 0:
             return not_run(Reason.DEADLINE_EXPIRED)
@@ -114,11 +119,11 @@
                     allow_redirects=False,
                 ) as response,
             ):
-                return await read_answer(response, call.request_id)
-        except TimeoutError as error:
-            return refusal_from_error(error)
+                is_leaving = says_leaving(response)
+                result = await read_answer(response, call.request_id, self.held)
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return refusal_from_error(error)
+            result = refusal_from_error(error)
+        return attrs.evolve(result, is_leaving=is_leaving) if is_leaving else result
 
     @asynccontextmanager
     async def run(
@@ -154,6 +159,8 @@
                         result = await read_answer(response, request.request_id)
             except (aiohttp.ClientError, OSError, ValueError) as error:
                 result = refusal_from_error(error)
+            if response is not None and says_leaving(response):
+                result = with_leaving(result)
             yield result
         finally:
             if response is not None:
@@ -207,6 +214,7 @@
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         self.response = response
         self.version = int(response.headers.get(names.WEIGHT_VERSIONS, "0"))
+        self.is_leaving = says_leaving(response)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the stream's bytes.
@@ -247,14 +255,52 @@
     return response.headers.get(names.REQUEST_ID) == request_id
 
 
+def says_leaving(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the upstream states that it leaves.
+
+    The statement of a misdirected request's answer concerns another upstream at the address.
+    """
+    return (
+        response.headers.get(names.SERVER_LEAVING) == "1" and response.status != MISDIRECTED_STATUS
+    )
+
+
+def with_leaving(result: PlatformRun | Answer | Refusal) -> PlatformRun | Answer | Refusal:
+    """Return the result of an upstream that leaves; a stream states it by itself."""
+    return result if isinstance(result, PlatformRun) else attrs.evolve(result, is_leaving=True)
+
+
 def delimits_body(response: aiohttp.ClientResponse) -> bool:
     """Return whether a response delimits its body by chunked encoding or a content length."""
     chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
     return chunked or "Content-Length" in response.headers
 
 
-async def read_answer(response: aiohttp.ClientResponse, request_id: str) -> Answer | Refusal:
-    """Read a complete response; return a refusal if it is not a valid answer to the request."""
+async def read_body(response: aiohttp.ClientResponse, held: ByteBudget) -> bytes:
+    """Read a body, counting its bytes as they arrive.
+
+    :raises ValueError: if the body alone exceeds the bound.
+    """
+    if not held.limit:
+        return await response.read()
+    chunks = []
+    with Hold(held) as hold:
+        async for chunk in response.content.iter_any():
+            chunks.append(chunk)
+            hold.resize(hold.size + len(chunk))
+            if hold.size > held.limit:
+                response.close()
+                raise ValueError(f"the answer has more than {held.limit} bytes")
+        return b"".join(chunks)
+
+
+async def read_answer(
+    response: aiohttp.ClientResponse, request_id: str, held: ByteBudget | None = None
+) -> Answer | Refusal:
+    """Read a complete response; return a refusal if it is not a valid answer to the request.
+
+    :param held: counts the bytes of the answer while it is read.
+    """
     if response.status == MISDIRECTED_STATUS:
         return not_run(Reason.WRONG_INCARNATION, "the address now belongs to another upstream")
     if names.NOT_EXECUTED in response.headers:
@@ -264,7 +310,7 @@
         return unknown(Reason.UPSTREAM_GARBLED, "the answer carries the id of another request")
     connection = response.connection
     protocol = connection.protocol if connection else None
-    body = await response.read()
+    body = await read_body(response, held or ByteBudget())
     if isinstance(protocol, ResetRecordingHandler) and protocol.was_reset:
         return unknown(
             Reason.UPSTREAM_LOST, "the connection was reset before the end of the answer"
--- a/src/apricotvale/requests/calls.py
+++ b/src/apricotvale/requests/calls.py
@@ -10,6 +10,7 @@
 
 from apricotvale.discovery import Upstream
 from apricotvale.outcomes import Refusal
+from apricotvale.requests.held_bytes import ByteBudget
 from apricotvale.weights.orders import EngineReport, LoadOrder, OrderOutcome
 
 
@@ -40,6 +41,7 @@
 
     :param signature: the upstream's signature of the answer, empty if it sent none.
     :param server_errors: number of server errors that earlier attempts of the request received.
+    :param is_leaving: whether the upstream stated that it leaves.
     """
 
     status: int
@@ -47,6 +49,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     signature: str = ""
     server_errors: int = 0
+    is_leaving: bool = False
 
 
 @frozen
@@ -67,16 +70,22 @@
 
 
 class RunStream(Protocol):
-    """An open event stream and the weight version that it started with."""
+    """An open event stream, its weight version at the start, and whether the engine leaves."""
 
     version: int
+    is_leaving: bool
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the stream's bytes; raise TruncatedStreamError if the stream ends early."""
 
 
 class UpstreamClient(Protocol):
-    """Operations on an upstream. Each refusal states whether the request may have run."""
+    """Operations on an upstream. Each refusal states whether the request may have run.
+
+    `held` counts the bytes of answers that are being read.
+    """
+
+    held: ByteBudget
 
     async def call(self, upstream: Upstream, call: Call) -> Answer | Refusal:
         """Send a request and return the complete answer."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -48,6 +48,10 @@
     :param fence: the highest fencing token accepted.
     :param aborted_connections: number of connections that the client closed or that failed.
     :param readers: readers of all connections, open and closed.
+    :param leaving: whether all answers say that the upstream leaves.
+    :param born: start time in its heartbeats.
+    :param read_s: pause before it reads the body of a request, in seconds.
+    :param body: body of a good answer; None for one that names the request.
     """
 
     upstream_id: str
@@ -63,6 +67,10 @@
     server: asyncio.Server | None = None
     writers: set = field(factory=set)
     readers: list = field(factory=list)
+    leaving: bool = False
+    born: int = 1
+    read_s: float = 0.0
+    body: bytes | None = None
 
     @property
     def address(self):
@@ -89,7 +97,7 @@
             "cold_remaining_ms": 0,
             "models": [{"name": n, "version": v} for n, v in self.models.items()],
             "sequence": sequence,
-            "born": 1,
+            "born": self.born,
         }
 
     async def serve(self, reader, writer):
@@ -110,6 +118,7 @@
         method, target, _ = request_line.split(" ")
         fields = [(n.lower(), v.strip()) for n, _, v in (line.partition(":") for line in lines)]
         headers = dict(fields)
+        await asyncio.sleep(self.read_s)
         body = await reader.readexactly(int(headers.get("content-length", "0")))
         self.requests.append(RecordedRequest(method, target, headers, body, fields))
         if target == "/api/report":
@@ -140,6 +149,7 @@
     async def send(self, writer, status, headers, body, length=None):
         lines = [f"HTTP/1.1 {status} Word"]
         lines += [f"{name}: {value}" for name, value in headers]
+        lines += ["Server-Leaving: 1"] * self.leaving
         if length != "none":
             lines.append(f"Content-Length: {len(body) if length is None else length}")
         writer.write("\r\n".join([*lines, "", ""]).encode() + body)
@@ -149,7 +159,7 @@
     async def answer(self, writer, headers):
         request_id = headers.get("request-id", "")
         valid_headers = [("Request-Id", request_id), ("Server-Stamp", f"stamp-{request_id}")]
-        body = f"body of {request_id}".encode()
+        body = f"body of {request_id}".encode() if self.body is None else self.body
         match self.behaviour:
             case "good":
                 return await self.send(writer, 200, valid_headers, body)
@@ -195,6 +205,7 @@
         lines = [f"{name}: {value}" for name, value in valid_headers]
         start = int(headers.get("last-event-id", "-1")) + 1
         lines.append("Transfer-Encoding: chunked")
+        lines += ["Server-Leaving: 1"] * self.leaving
         if start < self.events:
             lines.append(f"Weight-Versions: {version}")
         writer.write("\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode())
