Plan whole groups when there is more work than capacity

With least slack first over all jobs, an overload gives each group some slots and completes few of them in time.

--- /dev/null
+++ b/src/apricotvale/jobs/planning.py
@@ -0,0 +1,356 @@
+"""Which groups of items to finish when the engines cannot finish all of them in time.
+
+The trainer uses only complete groups. With least slack first, an overload gives every group some
+slots and completes few of them in time, so that most of the work done is worth nothing.
+"""
+
+from __future__ import annotations
+
+import heapq
+from bisect import bisect_left
+from collections.abc import Iterable, Mapping
+from enum import IntEnum
+
+from attrs import define, field, frozen
+
+# A result that is read this long after the due time still has its full value.
+LATE_S = 0.7
+# A trainer gives up waiting for a step this long after its submission.
+GIVE_UP_AFTER_S = 12.0
+# Overload begins above the first ratio of work to capacity. It ends when the ratio has been under
+# the second one for a time, so that it does not alternate around one value.
+OVERLOAD_RATIO = 1.0
+NORMAL_RATIO = 0.85
+NORMAL_S = 1.0
+# Work due within a shorter time is compared with the capacity of this time: the last item of a late
+# job is no overload.
+MIN_HORIZON_S = 0.5
+# Share of the capacity that is guaranteed to the less urgent classes while they have work.
+GUARANTEED_SHARE = 0.25
+
+
+class Prospect(IntEnum):
+    """What a group can be worth, in the order in which groups are started."""
+
+    IN_TIME = 0
+    LATE = 1
+    HARDLY = 2
+    SPARE = 3
+    EXPIRED = 4
+
+
+@define(eq=False)
+class GroupWork:
+    """The remaining work of a group.
+
+    :param owner: customer and trainer, among which a class shares its capacity.
+    :param due_at: when the results are due, infinite without a deadline; in seconds.
+    :param give_up_at: when the trainer gives up; infinite without a deadline.
+    :param work_s: expected run seconds of all unfinished items, `waiting_s` of those not running.
+    :param longest_s: expected run seconds of the longest unfinished item.
+    :param has_begun: whether an item of the group runs, ran or has a result.
+    :param is_spare: whether the trainer waits for other groups unless those cannot be in time.
+    :param is_repeated: whether an earlier job had the group; the trainer waits for it in any case.
+    :param can_complete: False if an item has failed.
+    """
+
+    job_id: str
+    group: str
+    urgency: int
+    owner: str
+    due_at: float
+    give_up_at: float
+    work_s: float
+    waiting_s: float
+    longest_s: float
+    has_begun: bool = False
+    is_spare: bool = False
+    is_repeated: bool = False
+    can_complete: bool = True
+
+    @property
+    def in_time_until(self) -> float:
+        """Return the latest time at which the complete group has its full value."""
+        return min(self.due_at + LATE_S, self.give_up_at)
+
+
+@frozen
+class Room:
+    """Capacity for items.
+
+    :param slots: slots of the ready engines.
+    :param running_s: expected remaining seconds of each running item.
+    """
+
+    slots: int
+    running_s: tuple[float, ...] = ()
+
+
+@frozen
+class PlannedGroup:
+    """A group at its position in the plan."""
+
+    work: GroupWork
+    prospect: Prospect
+
+
+def overload_ratio(groups: Iterable[GroupWork], room: Room, now: float) -> float:
+    """Return the largest ratio of work due to capacity over the due times of open jobs.
+
+    Load pattern: steps of all trainers arrive at once on half of the engines.
+    """
+    if not room.slots:
+        return 0.0
+    work_by_due: dict[float, float] = {}
+    for group in groups:
+        if not group.is_spare and group.can_complete and group.give_up_at > now:
+            work_by_due[group.due_at] = work_by_due.get(group.due_at, 0.0) + group.work_s
+    worst = total = 0.0
+    for due_at in sorted(work_by_due):
+        total += work_by_due[due_at]
+        worst = max(worst, total / (room.slots * max(MIN_HORIZON_S, due_at - now)))
+    return worst
+
+
+@define
+class Overload:
+    """Whether work exceeds capacity, with hysteresis.
+
+    :param under_since: since when the ratio has been under `NORMAL_RATIO`; None if it is not.
+    """
+
+    is_active: bool = False
+    under_since: float | None = None
+
+    def update(self, ratio: float, now: float) -> bool:
+        """Record a ratio; return whether overload began or ended.
+
+        Load pattern: a load close to the capacity, whose ratio varies around 1 with each result.
+        """
+        if ratio >= NORMAL_RATIO:
+            self.under_since = None
+        elif self.under_since is None:
+            self.under_since = now
+        was_active = self.is_active
+        if ratio > OVERLOAD_RATIO:
+            self.is_active = True
+        elif self.under_since is not None and now >= self.under_since + NORMAL_S:
+            self.is_active = False
+        return self.is_active is not was_active
+
+
+class Ledger:
+    """The capacity that is left until each time at which a group can be due."""
+
+    def __init__(self, limits: Iterable[float], room: Room, now: float) -> None:
+        self.limits = sorted({limit for limit in limits if limit > now})
+        self.free = []
+        for limit in self.limits:
+            left_s = limit - now
+            taken = sum(min(seconds, left_s) for seconds in room.running_s)
+            self.free.append(room.slots * left_s - taken)
+
+    def take(self, limit: float, work_s: float) -> bool:
+        """Reserve capacity for work due by a limit; return False if there is too little."""
+        first = bisect_left(self.limits, limit)
+        free = self.free
+        if work_s > 0 and any(free[n] < work_s for n in range(first, len(free))):
+            return False
+        self.give_back(limit, -work_s)
+        return True
+
+    def give_back(self, limit: float, work_s: float) -> None:
+        """Release reserved capacity."""
+        for n in range(bisect_left(self.limits, limit), len(self.free)):
+            self.free[n] += work_s
+
+    def hold(self, share: float, work_s: float) -> list[float]:
+        """Reserve a share of the capacity, at most for some work; return it for `release`."""
+        held = [min(max(0.0, free) * share, work_s) for free in self.free]
+        self.free = [free - part for free, part in zip(self.free, held, strict=True)]
+        return held
+
+    def release(self, held: list[float]) -> None:
+        """Release what `hold` reserved."""
+        self.free = [free + part for free, part in zip(self.free, held, strict=True)]
+
+
+@define
+class Selection:
+    """Groups that can be complete in time, while the plan is made.
+
+    :param needed: by job, how many more complete groups its trainer needs.
+    :param served: work that each owner got recently, and what the plan gives to it.
+    """
+
+    ledger: Ledger
+    needed: dict[str, int]
+    served: dict[str, float]
+    now: float
+    chosen: dict[int, GroupWork] = field(factory=dict)
+
+    def select(self, group: GroupWork) -> bool:
+        """Select a group if its trainer needs it and it can be complete in time."""
+        if self.needed.get(group.job_id, 0) <= 0 and not group.is_repeated:
+            return False
+        limit = group.in_time_until
+        if self.now + group.longest_s > limit or not self.ledger.take(limit, group.waiting_s):
+            return False
+        self.account(group, 1)
+        return True
+
+    def replace(self, group: GroupWork, largest: GroupWork) -> bool:
+        """Select a group instead of a larger one of the same owner if that makes room for it."""
+        if largest.waiting_s <= group.waiting_s or largest.is_repeated:
+            return False
+        self.ledger.give_back(largest.in_time_until, largest.waiting_s)
+        self.account(largest, -1)
+        if self.select(group):
+            return True
+        self.ledger.take(largest.in_time_until, largest.waiting_s)
+        self.account(largest, 1)
+        return False
+
+    def account(self, group: GroupWork, sign: int) -> None:
+        """Count a group as selected, or as no longer selected."""
+        if sign > 0:
+            self.chosen[id(group)] = group
+        else:
+            del self.chosen[id(group)]
+        self.needed[group.job_id] = self.needed.get(group.job_id, 0) - sign
+        self.served[group.owner] = self.served.get(group.owner, 0.0) + sign * group.waiting_s
+
+
+def plan_groups(
+    groups: list[GroupWork],
+    needed: dict[str, int],
+    room: Room,
+    served: dict[str, float],
+    now: float,
+) -> list[PlannedGroup]:
+    """Return all groups in the order in which their items should start.
+
+    Load pattern: all trainers submit at once with more work than fits until the due times. Classes
+    of urgency are planned one after the other; the less urgent ones keep a guaranteed share.
+
+    :param needed: by job, how many more complete groups its trainer waits for.
+    :param served: run seconds that each owner got recently.
+    """
+    open_groups = [group for group in groups if group.can_complete and group.give_up_at > now]
+    limits = {group.in_time_until for group in open_groups}
+    ledger = Ledger(limits | {group.give_up_at for group in open_groups}, room, now)
+    selection = Selection(ledger, dict(needed), dict(served), now)
+    by_class: dict[int, list[GroupWork]] = {}
+    for group in open_groups:
+        by_class.setdefault(group.urgency, []).append(group)
+    late: list[PlannedGroup] = []
+    lower_s = sum(group.waiting_s for group in open_groups)
+    for urgency in sorted(by_class):
+        members = by_class[urgency]
+        lower_s -= sum(group.waiting_s for group in members)
+        held = ledger.hold(GUARANTEED_SHARE, max(0.0, lower_s))
+        select_in_time(members, selection)
+        late += plan_late(members, selection)
+        ledger.release(held)
+    planned = [PlannedGroup(group, Prospect.IN_TIME) for group in selection.chosen.values()]
+    planned += late
+    known = {id(entry.work) for entry in planned}
+    for group in groups:
+        if id(group) not in known:
+            expired = group.give_up_at <= now
+            planned.append(PlannedGroup(group, Prospect.EXPIRED if expired else Prospect.SPARE))
+    missing = selection.needed
+    planned.sort(key=lambda entry: start_order(entry, missing))
+    return planned
+
+
+def start_order(entry: PlannedGroup, missing: dict[str, int]) -> tuple[float, ...]:
+    """Return the sort key of a planned group within the whole plan."""
+    group = entry.work
+    first: float = missing.get(group.job_id, 0) if entry.prospect is not Prospect.IN_TIME else 0
+    begun = not group.has_begun
+    return (entry.prospect, group.urgency, first, begun, group.due_at, group.waiting_s)
+
+
+def selection_order(group: GroupWork) -> tuple[float, ...]:
+    """Return the sort key by which an owner's groups are selected."""
+    return (group.in_time_until, not group.is_repeated, group.is_spare, group.waiting_s)
+
+
+def select_in_time(groups: list[GroupWork], selection: Selection) -> None:
+    """Select the groups of one class that can be complete in time.
+
+    Groups that have begun come first. Then the owner that was served least picks its next group;
+    when that does not fit, it replaces the owner's largest group that has not begun.
+    """
+    for group in sorted((group for group in groups if group.has_begun), key=selection_order):
+        selection.select(group)
+    queues: dict[str, list[GroupWork]] = {}
+    for group in groups:
+        if not group.has_begun:
+            queues.setdefault(group.owner, []).append(group)
+    turns: list[tuple[float, float, str]] = []
+    picked: dict[str, list[tuple[float, int, GroupWork]]] = {owner: [] for owner in queues}
+    for owner, queue in queues.items():
+        queue.sort(key=selection_order, reverse=True)
+        turns.append((selection.served.get(owner, 0.0), queue[-1].due_at, owner))
+    heapq.heapify(turns)
+    while turns:
+        owner = heapq.heappop(turns)[2]
+        queue, held = queues[owner], picked[owner]
+        while queue:
+            group = queue.pop()
+            if selection.select(group):
+                heapq.heappush(held, (-group.waiting_s, id(group), group))
+                break
+            if held and selection.replace(group, held[0][2]):
+                heapq.heapreplace(held, (-group.waiting_s, id(group), group))
+        if queue:
+            heapq.heappush(turns, (selection.served[owner], queue[-1].due_at, owner))
+
+
+def plan_late(groups: list[GroupWork], selection: Selection) -> list[PlannedGroup]:
+    """Return the groups of one class that can only be late, with whether they are worth anything.
+
+    Those of the steps with the fewest missing groups take the remaining capacity first, since they
+    release their trainer.
+    """
+    missing = selection.needed
+    rest = [
+        group
+        for group in groups
+        if id(group) not in selection.chosen
+        and (missing.get(group.job_id, 0) > 0 or group.is_repeated)
+    ]
+    rest.sort(
+        key=lambda group: (missing.get(group.job_id, 0), not group.has_begun, group.waiting_s)
+    )
+    still = dict(missing)
+    planned = []
+    for group in rest:
+        if still.get(group.job_id, 0) <= 0 and not group.is_repeated:
+            continue
+        fits = selection.now + group.longest_s <= group.give_up_at and selection.ledger.take(
+            group.give_up_at, group.waiting_s
+        )
+        if fits:
+            still[group.job_id] = still.get(group.job_id, 0) - 1
+        planned.append(PlannedGroup(group, Prospect.LATE if fits else Prospect.HARDLY))
+    return planned
+
+
+def guaranteed_first(classes: list[int], slots: int, running: Mapping[int, int]) -> dict[int, int]:
+    """Return by class how many of its items start before those of more urgent classes.
+
+    Load pattern: an urgent class fills all slots for as long as it has work. Each less urgent class
+    gets a quarter of what the class above it has.
+
+    :param classes: the classes that have work, most urgent first.
+    :param running: number of running items by class.
+    """
+    first = {}
+    share = 1.0
+    for urgency in classes[1:]:
+        share *= GUARANTEED_SHARE
+        first[urgency] = max(0, int(slots * share) - running.get(urgency, 0))
+    return first
