Use the plan in the job runner, refuse hopeless jobs, and withhold hedges from full services

Overload was not detected and every job was accepted: items of all groups took slots in turn. The runner now orders items by the plan while more work is due than fits, a submission of which no group can be complete is answered 429, reward calls use a quarter of the slots of a service that refuses requests, and idempotent requests get no second copy while all its slots are taken.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
@@ -32,6 +33,7 @@
 from apricotvale.fleet import commands as c
 from apricotvale.fleet.state import FleetState
 from apricotvale.jobs import Job, Result
+from apricotvale.jobs.admission import spread
 from apricotvale.jobs.store import expected_bytes
 from apricotvale.outcomes import Refusal
 from apricotvale.requests.calls import UpstreamClient
@@ -53,6 +55,8 @@
 MAX_RESULT_BYTES = 900_000
 BYTES_PER_MIB = 1024 * 1024
 TRANSFER_WAIT_S = 1.0
+# A leader refuses no job for lack of capacity before it has led for this long.
+MIN_LEADING_S = 1.0
 
 
 @define
@@ -264,6 +268,10 @@
         known = job.job_id in self.state.jobs.state.records
         if not known and job.job_id not in self.proposed_jobs and not self.has_room(job):
             return calls.JobsFull()
+        if not known and job.job_id not in self.proposed_jobs and self.may_refuse_jobs():
+            retry_after_s = self.runner.refuse(job, clock.now())
+            if retry_after_s is not None:
+                return calls.JobRefused(spread(retry_after_s, random.random()))
         self.proposed_jobs[job.job_id] += 1
         try:
             reply = await self.commit(c.AcceptJob(job))
@@ -296,6 +304,15 @@
         events.emit(events.JOB_REJECTED, job=job.job_id, held_bytes=held, needed_bytes=needed)
         return False
 
+    def may_refuse_jobs(self) -> bool:
+        """Return whether this leader knows the open jobs well enough to refuse a new one.
+
+        A new leader does not know yet which jobs its predecessor accepted, and how long items take.
+        """
+        if self.replica.node.term_start_index > self.replica.node.applied_index:
+            return False
+        return clock.now() >= self.leading_since + MIN_LEADING_S
+
     async def on_end_job(self, request: calls.EndJob) -> Any:
         """End a job and log the outcome."""
         reply = await self.commit(c.EndJob(request.job_id))
--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -16,6 +16,10 @@
 from apricotvale.settings.schema import Routing
 
 RETRY_AFTER_S = 0.2
+# An upstream that refused a request for lack of a slot counts as full for this long.
+FULL_S = 0.2
+# A service counts as short of slots for this long after such a refusal.
+SHORTAGE_S = 1.0
 UPSTREAM_FAILURES = (Reason.UPSTREAM_UNREACHABLE, Reason.UPSTREAM_LOST, Reason.UPSTREAM_GARBLED)
 
 
@@ -32,6 +36,8 @@
         self.client = client
         self.rng = random.Random()
         self.router = Router(site, Routing(), self.rng)
+        self.full_since: dict[str, float] = {}
+        self.refused_at: dict[str, float] = {}
 
     async def forward(self, route: Route, call: Call) -> Answer | Refusal:
         """Forward a request and return its final answer or refusal.
@@ -71,6 +77,15 @@
             candidates = self.view.ready(service)
             if not candidates:
                 continue
+            if request.in_flight and self.is_service_full(candidates, now):
+                events.emit(
+                    events.HEDGE_WITHHELD,
+                    request=call.request_id,
+                    service=service,
+                    candidates=len(candidates),
+                    view=self.view.position,
+                )
+                continue
             choice = self.router.choose(candidates, now, excluded=request.tried)
             if isinstance(choice, Refusal):
                 continue
@@ -87,6 +102,22 @@
             return choice.member
         return None
 
+    def is_service_full(self, candidates: list[Upstream], now: float) -> bool:
+        """Return whether all slots of a service are taken, as seen by this process.
+
+        Load pattern: callers fill every slot. Second copies of slow requests would then take slots
+        from other callers.
+        """
+        return all(
+            self.router.load_of(upstream).in_flight >= upstream.capacity
+            or now < self.full_since.get(upstream.incarnation, float("-inf")) + FULL_S
+            for upstream in candidates
+        )
+
+    def refused_recently(self, service: str, now: float) -> bool:
+        """Return whether an upstream of a service refused a request for lack of a slot."""
+        return now < self.refused_at.get(service, float("-inf")) + SHORTAGE_S
+
     async def send(self, upstream: Upstream, call: Call) -> Answer | Refusal:
         """Send one attempt, and report its success or failure to the router."""
         started_at = clock.now()
@@ -109,6 +140,9 @@
             ran=result.ran,
             detail=result.detail,
         )
+        if result.reason is Reason.OVERLOADED:
+            self.full_since[upstream.incarnation] = clock.now()
+            self.refused_at[upstream.service] = clock.now()
         if result.reason in UPSTREAM_FAILURES and self.router.fail(upstream, clock.now()):
             events.emit(events.EJECTED, upstream=upstream.incarnation)
         return result
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -9,6 +9,7 @@
 from attrs import define
 
 from apricotvale import clock, events, metrics
+from apricotvale.daemons.capacity import CapacityPlanner
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.runtime import TaskGroup
 from apricotvale.discovery import Upstream
@@ -50,6 +51,8 @@
 REWARD_TIMEOUT_S = 3.0
 # Share of a service's slots that reward calls may use; the rest is left for waiting callers.
 MAX_REWARD_SHARE = 0.5
+# Their share while upstreams of the service refuse requests because their slots are taken.
+MAX_REWARD_SHARE_WHILE_FULL = 0.25
 UNPROCESSABLE_STATUS = 422
 SERVER_ERROR_STATUS = 500
 
@@ -115,6 +118,9 @@
         self.seen_at: dict[str, float] = {}
         self.next_move_at = 0.0
         self.run_pace = Pace()
+        self.capacity = CapacityPlanner(
+            self.state, self.runs, self.waiting, self.usages, self.seen_at, self.seconds_per_token
+        )
         self.tasks = TaskGroup()
 
     def tick(self, now: float) -> None:
@@ -128,27 +134,49 @@
             del self.waiting[key]
         for record in records:
             self.seen_at.setdefault(record.job.job_id, now)
-        self.start_items(sort_by_priority(self.find_waiting(records)), now)
+        self.start_items(self.find_waiting(records, now), now)
         if now >= self.next_move_at:
             self.next_move_at = now + MOVE_INTERVAL_S
             self.move_runs(now)
 
-    def find_waiting(self, records: list[JobRecord]) -> list[WaitingItem]:
-        """Return the items of open jobs that wait for an engine."""
-        seconds_per_token = self.run_pace.seconds_per_token or INITIAL_SECONDS_PER_TOKEN
+    def find_waiting(self, records: list[JobRecord], now: float) -> list[WaitingItem]:
+        """Return the items of open jobs that wait for an engine, in the order of their starts.
+
+        Without overload of a job's services the items go by least slack over all jobs.
+        """
+        self.capacity.update(records, self.table, now)
+        seconds_per_token = self.seconds_per_token()
         waiting: list[WaitingItem] = []
+        planned: list[WaitingItem] = []
+        for pool in self.capacity.pools.values():
+            planned += [
+                candidate
+                for candidate in pool.order or ()
+                if (candidate.job.job_id, candidate.item.item_id) not in self.runs
+                and not self.state.jobs.is_finished(candidate.job.job_id, candidate.item.item_id)
+            ]
         for record in records:
             job = record.job
             route = self.table.match(job.host, job.path) if self.table else None
+            if route is None or self.capacity.is_planned(job.job_id):
+                continue
             items = [
                 item
                 for item in self.state.jobs.unfinished_items(record)
                 if (job.job_id, item.item_id) not in self.runs
             ]
-            if route is not None and items:
+            if items:
                 due_at = self.seen_at[job.job_id] + route.job_deadline_ms / 1000
                 waiting += waiting_items(job, items, route, due_at, seconds_per_token)
-        return waiting
+        return sort_by_priority(waiting) + planned
+
+    def seconds_per_token(self) -> float:
+        """Return the time of a run for each expected token of its output."""
+        return self.run_pace.seconds_per_token or INITIAL_SECONDS_PER_TOKEN
+
+    def refuse(self, job: Job, now: float) -> float | None:
+        """Return the time until a new job may be submitted again, None if it is accepted."""
+        return self.capacity.refuse(job, self.state.jobs.open_records(), self.table, now)
 
     def start_items(self, waiting: list[WaitingItem], now: float) -> None:
         """Start items in their order; one that no engine can take does not hold up smaller ones."""
@@ -471,7 +499,8 @@
     def reward_limit(self, service: str) -> int:
         """Return how many reward calls may be in flight at a service."""
         slots = sum(upstream.capacity for upstream in self.forwarder.view.ready(service))
-        return max(1, int(slots * MAX_REWARD_SHARE))
+        full = self.forwarder.refused_recently(service, clock.now())
+        return max(1, int(slots * (MAX_REWARD_SHARE_WHILE_FULL if full else MAX_REWARD_SHARE)))
 
     async def commit_result(self, run: ItemRun, state: ItemState, score: str) -> None:
         """Commit an item's result; if leadership was lost, another leader runs the item again."""
@@ -511,6 +540,7 @@
                 run.task.cancel()
         self.waiting.clear()
         self.seen_at.clear()
+        self.capacity.clear()
 
 
 def demand_of(job: Job, item: Item) -> Demand:
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -104,6 +104,19 @@
 ITEM_MOVED = event(418, "item-moved", "INFO", "A run was moved to a much faster engine.")
 RUNNER_STARTED = event(416, "runner-started", "INFO", "A new leader starts to run the open jobs.")
 RUNNER_STOPPED = event(417, "runner-stopped", "INFO", "A former leader stopped all its runs.")
+OVERLOAD_BEGAN = event(
+    420, "overload-began", "WARNING", "More work is due than fits; whole groups are planned."
+)
+OVERLOAD_ENDED = event(421, "overload-ended", "INFO", "The work due fits again.")
+GROUP_POSTPONED = event(
+    422, "group-postponed", "INFO", "A group cannot be complete in time, with what it would need."
+)
+JOB_REFUSED = event(
+    423, "job-refused", "WARNING", "A job was refused: no group of it can be complete in time."
+)
+HEDGE_WITHHELD = event(
+    424, "hedge-withheld", "INFO", "No second copy was sent: all slots of the service are taken."
+)
 
 ROLE_CHANGED = event(500, "role-changed", "INFO", "A control replica's role or term changed.")
 JOINING = event(501, "joining", "WARNING", "A replica with a new data folder asks to join.")
--- a/src/apricotvale/fleet/calls.py
+++ b/src/apricotvale/fleet/calls.py
@@ -142,6 +142,16 @@
     """The job was rejected and will not run: the jobs held leave no room for it."""
 
 
+@frozen
+class JobRefused:
+    """The job was refused and will not run: no group of it could be complete in time.
+
+    :param retry_after_s: time until capacity is expected.
+    """
+
+    retry_after_s: float = 1.0
+
+
 @frozen
 class TooFewLeft:
     """The retirement would leave too few replicas."""
@@ -199,6 +209,7 @@
     | Accepted
     | NotFound
     | JobsFull
+    | JobRefused
     | TooFewLeft
     | TableRead
     | RetirementRead
--- a/src/apricotvale/jobs/admission.py
+++ b/src/apricotvale/jobs/admission.py
@@ -7,6 +7,7 @@
 from apricotvale.jobs.planning import (
     GUARANTEED_SHARE,
     GroupWork,
+    Owner,
     Prospect,
     Room,
     plan_groups,
@@ -22,7 +23,7 @@
     new: list[GroupWork],
     needed: dict[str, int],
     room: Room,
-    served: dict[str, float],
+    served: dict[Owner, float],
     now: float,
 ) -> float | None:
     """Return the time until capacity is expected if a new job must be refused, else None.
--- a/src/apricotvale/jobs/backlog.py
+++ b/src/apricotvale/jobs/backlog.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
-from attrs import define, field
+from attrs import define
 
 from apricotvale.jobs.planning import (
     GIVE_UP_AFTER_S,
     LATE_S,
     GroupWork,
+    Owner,
     PlannedGroup,
-    Prospect,
     Room,
     guaranteed_first,
     plan_groups,
@@ -52,7 +51,7 @@
     ) -> None:
         self.job = job
         self.urgency = urgency
-        self.owner = f"{getattr(job, 'customer', '')}/{job.model or job.job_id}"
+        self.owner: Owner = (getattr(job, "customer", ""), job.model)
         self.due_at = self.give_up_at = float("inf")
         if route.job_deadline_ms:
             self.due_at = seen_at + route.job_deadline_ms / 1000
@@ -97,6 +96,13 @@
                 self.needed -= not group.has_failed
         self.seen_results = len(results)
 
+    def begin(self, item_ids: Iterable[str]) -> None:
+        """Record that items have output that an earlier leader saved."""
+        for item_id in item_ids:
+            group = self.groups.get(self.group_of[item_id])
+            if group is not None:
+                group.has_begun = True
+
 
 def length_order(entry: tuple[int, Item]) -> int:
     """Return the sort key for longest first."""
@@ -114,17 +120,19 @@
 
 def group_work(
     jobs: Iterable[OpenJob],
-    generated_s: Mapping[ItemKey, float],
-    running: Mapping[ItemKey, object],
+    generated_s: Mapping[ItemKey, float | None],
+    running: Collection[ItemKey],
     seconds_per_token: float,
 ) -> tuple[list[GroupWork], list[float]]:
     """Return the remaining work of all groups, and the remaining seconds of each running item.
 
-    :param generated_s: seconds that items have run, for running and interrupted items.
+    :param generated_s: seconds that items have run, for running and interrupted items; None for an
+        item whose output is complete and that waits for its reward call.
+    :param running: the items that occupy a slot.
     """
     works: list[GroupWork] = []
     running_s: list[float] = []
-    by_group: dict[tuple[str, str], list[tuple[str, float]]] = {}
+    by_group: dict[tuple[str, str], list[tuple[str, float | None]]] = {}
     open_jobs = {job.job.job_id: job for job in jobs}
     for (job_id, item_id), seconds in generated_s.items():
         job = open_jobs.get(job_id)
@@ -141,7 +149,11 @@
                 }
                 for item_id, seconds in begun:
                     if item_id in left:
-                        left[item_id] = remaining_seconds(left[item_id], seconds)
+                        left[item_id] = (
+                            remaining_seconds(left[item_id], seconds)
+                            if seconds is not None
+                            else 0.0
+                        )
                 active = [left[item] for item in left if (job_id, item) in running]
                 running_s += active
                 work_s, longest_s = sum(left.values()), max(left.values())
@@ -158,7 +170,7 @@
                     max(0.0, waiting_s),
                     longest_s,
                     group.has_begun or bool(begun),
-                    group.is_spare,
+                    group.is_spare or job.needed <= 0,
                     group.is_repeated,
                     not group.has_failed,
                 )
@@ -170,23 +182,27 @@
     jobs: Mapping[str, OpenJob],
     works: list[GroupWork],
     room: Room,
-    running: Mapping[ItemKey, object],
-    served: dict[str, float],
+    started: Collection[ItemKey],
+    counts: Mapping[int, int],
+    served: dict[Owner, float],
     now: float,
 ) -> tuple[list[WaitingItem], list[PlannedGroup]]:
-    """Return the waiting items of all jobs in the order in which they should start, and the plan."""
+    """Return the waiting items of all jobs in the order of their starts, and the plan.
+
+    :param started: the items that do not wait.
+    :param counts: number of occupied slots by class.
+    """
     needed = {job_id: job.needed for job_id, job in jobs.items()}
     plan = plan_groups(works, needed, room, served, now)
     waiting = [
         held[1]
         for entry in plan
         for item_id, held in jobs[entry.work.job_id].groups[entry.work.group].items.items()
-        if (entry.work.job_id, item_id) not in running
+        if (entry.work.job_id, item_id) not in started
     ]
     classes = sorted({work.urgency for work in works})
     if len(classes) <= 1:
         return waiting, plan
-    counts = Counter(jobs[job_id].urgency for job_id, _ in running if job_id in jobs)
     left = guaranteed_first(classes, room.slots, counts)
     first: list[WaitingItem] = []
     rest: list[WaitingItem] = []
@@ -198,15 +214,3 @@
         else:
             rest.append(candidate)
     return first + rest, plan
-
-
-def postponed(
-    plan: list[PlannedGroup], is_new: Callable[[GroupWork, str], bool]
-) -> list[PlannedGroup]:
-    """Return the wanted groups that cannot be complete in time and were not reported before."""
-    return [
-        entry
-        for entry in plan
-        if entry.prospect in (Prospect.LATE, Prospect.HARDLY)
-        and is_new(entry.work, entry.prospect.name.lower())
-    ]
--- a/src/apricotvale/jobs/planning.py
+++ b/src/apricotvale/jobs/planning.py
@@ -29,6 +29,9 @@
 GUARANTEED_SHARE = 0.25
 
 
+Owner = tuple[str, str]
+
+
 class Prospect(IntEnum):
     """What a group can be worth, in the order in which groups are started."""
 
@@ -43,7 +46,8 @@
 class GroupWork:
     """The remaining work of a group.
 
-    :param owner: customer and trainer, among which a class shares its capacity.
+    :param owner: customer and trainer; a class shares its capacity among customers, and each
+        customer's part among its trainers.
     :param due_at: when the results are due, infinite without a deadline; in seconds.
     :param give_up_at: when the trainer gives up; infinite without a deadline.
     :param work_s: expected run seconds of all unfinished items, `waiting_s` of those not running.
@@ -57,7 +61,7 @@
     job_id: str
     group: str
     urgency: int
-    owner: str
+    owner: Owner
     due_at: float
     give_up_at: float
     work_s: float
@@ -185,9 +189,18 @@
 
     ledger: Ledger
     needed: dict[str, int]
-    served: dict[str, float]
+    served: dict[Owner, float]
     now: float
     chosen: dict[int, GroupWork] = field(factory=dict)
+    by_customer: dict[str, float] = field(init=False)
+
+    @by_customer.default
+    def sum_by_customer(self) -> dict[str, float]:
+        """Return the work of each customer over its trainers."""
+        totals: dict[str, float] = {}
+        for (customer, _), served_s in self.served.items():
+            totals[customer] = totals.get(customer, 0.0) + served_s
+        return totals
 
     def select(self, group: GroupWork) -> bool:
         """Select a group if its trainer needs it and it can be complete in time."""
@@ -218,14 +231,22 @@
         else:
             del self.chosen[id(group)]
         self.needed[group.job_id] = self.needed.get(group.job_id, 0) - sign
-        self.served[group.owner] = self.served.get(group.owner, 0.0) + sign * group.waiting_s
+        work_s = sign * group.waiting_s
+        self.served[group.owner] = self.served.get(group.owner, 0.0) + work_s
+        customer = group.owner[0]
+        self.by_customer[customer] = self.by_customer.get(customer, 0.0) + work_s
+
+    def turn(self, group: GroupWork) -> tuple[float, float, float, Owner]:
+        """Return the sort key by which owners take turns, for the next group of an owner."""
+        customer_s = self.by_customer.get(group.owner[0], 0.0)
+        return (customer_s, self.served.get(group.owner, 0.0), group.due_at, group.owner)
 
 
 def plan_groups(
     groups: list[GroupWork],
     needed: dict[str, int],
     room: Room,
-    served: dict[str, float],
+    served: dict[Owner, float],
     now: float,
 ) -> list[PlannedGroup]:
     """Return all groups in the order in which their items should start.
@@ -285,19 +306,23 @@
     """
     for group in sorted((group for group in groups if group.has_begun), key=selection_order):
         selection.select(group)
-    queues: dict[str, list[GroupWork]] = {}
+    queues: dict[Owner, list[GroupWork]] = {}
     for group in groups:
         if not group.has_begun:
             queues.setdefault(group.owner, []).append(group)
-    turns: list[tuple[float, float, str]] = []
-    picked: dict[str, list[tuple[float, int, GroupWork]]] = {owner: [] for owner in queues}
-    for owner, queue in queues.items():
+    picked: dict[Owner, list[tuple[float, int, GroupWork]]] = {owner: [] for owner in queues}
+    for queue in queues.values():
         queue.sort(key=selection_order, reverse=True)
-        turns.append((selection.served.get(owner, 0.0), queue[-1].due_at, owner))
+    turns = [selection.turn(queue[-1]) for queue in queues.values()]
     heapq.heapify(turns)
     while turns:
-        owner = heapq.heappop(turns)[2]
-        queue, held = queues[owner], picked[owner]
+        turn = heapq.heappop(turns)
+        queue, held = queues[turn[-1]], picked[turn[-1]]
+        current = selection.turn(queue[-1])
+        if turns and current > turns[0]:
+            # Another trainer of the customer was selected since this turn was queued.
+            heapq.heappush(turns, current)
+            continue
         while queue:
             group = queue.pop()
             if selection.select(group):
@@ -306,7 +331,7 @@
             if held and selection.replace(group, held[0][2]):
                 heapq.heapreplace(held, (-group.waiting_s, id(group), group))
         if queue:
-            heapq.heappush(turns, (selection.served[owner], queue[-1].due_at, owner))
+            heapq.heappush(turns, selection.turn(queue[-1]))
 
 
 def plan_late(groups: list[GroupWork], selection: Selection) -> list[PlannedGroup]:
--- a/src/apricotvale/jobs/scheduling.py
+++ b/src/apricotvale/jobs/scheduling.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from apricotvale.jobs.types import Item, Job
-from apricotvale.routes import Route
+from apricotvale.routes import Route, RouteTable
 
 
 @frozen
@@ -58,6 +58,11 @@
     return sorted(waiting, key=lambda waiting: (waiting.is_spare, waiting.latest_start))
 
 
+def urgency(table: RouteTable, route: Route, customer: str) -> int:
+    """Return the urgency of a job of a customer on a route; smaller is more urgent."""
+    return route.priority
+
+
 def expected_length(item: Item) -> int:
     """Return the expected output tokens of an item: the caller's estimate within its limit."""
     limit = max(0, item.tokens - item.prompt_tokens)
--- a/src/apricotvale/jobs/shares.py
+++ b/src/apricotvale/jobs/shares.py
@@ -6,6 +6,8 @@
 
 from attrs import define, field
 
+from apricotvale.jobs.planning import Owner
+
 # Work counts less as it gets older; after this time it counts a third.
 SHARE_WINDOW_S = 10.0
 
@@ -18,7 +20,7 @@
     leader starts with equal shares.
     """
 
-    served: dict[tuple[int, str], float] = field(factory=dict)
+    served: dict[tuple[int, Owner], float] = field(factory=dict)
     updated_at: float = float("-inf")
 
     def decay(self, now: float) -> None:
@@ -31,14 +33,14 @@
             key: work * factor for key, work in self.served.items() if work * factor > 1.0
         }
 
-    def add(self, urgency: int, owner: str, tokens: float) -> None:
+    def add(self, urgency: int, owner: Owner, tokens: float) -> None:
         """Count work that an owner got."""
         key = (urgency, owner)
         self.served[key] = self.served.get(key, 0.0) + tokens
 
-    def by_owner(self, seconds_per_token: float) -> dict[str, float]:
+    def by_owner(self, seconds_per_token: float) -> dict[Owner, float]:
         """Return the work of each owner in run seconds."""
-        totals: dict[str, float] = {}
+        totals: dict[Owner, float] = {}
         for (_, owner), tokens in self.served.items():
             totals[owner] = totals.get(owner, 0.0) + tokens * seconds_per_token
         return totals
--- a/src/apricotvale/jobs/store.py
+++ b/src/apricotvale/jobs/store.py
@@ -136,6 +136,11 @@
         finished = self.finished_items[record.job.job_id]
         return [item for item in record.job.items if item.item_id not in finished]
 
+    def is_finished(self, job_id: str, item_id: str) -> bool:
+        """Return whether an item has a result, or its job is unknown."""
+        finished = self.finished_items.get(job_id)
+        return finished is None or item_id in finished
+
     def find_item(self, job_id: str, item_id: str) -> Item | None:
         """Return an item without a result, or None if it has one or its job is unknown or ended."""
         record = self.state.records.get(job_id)
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -31,6 +31,11 @@
 JOB_BYTES = Gauge(
     "apricotvale_job_bytes", "Bytes of jobs and results held, as of the last new job."
 )
+WORK_RATIO = Gauge("apricotvale_work_ratio", "Largest ratio of work due to capacity.")
+GROUPS_POSTPONED = Counter(
+    "apricotvale_groups_postponed", "Groups that could not be complete in time."
+)
+ITEMS_WAITING = Gauge("apricotvale_items_waiting", "Waiting items by class of urgency.", ["class"])
 LOG_LINES_DROPPED = Counter("apricotvale_log_lines_dropped", "Log lines over the bound.")
 METRICS_PATH = "/metrics"
 
--- a/src/apricotvale/outcomes.py
+++ b/src/apricotvale/outcomes.py
@@ -43,6 +43,7 @@
     TOMBSTONED = "tombstoned"
     STALE_PULL = "stale_pull"
     ISLAND = "island"
+    NO_CAPACITY = "no_capacity"
 
 
 STATUS_BY_REASON = {
@@ -56,6 +57,7 @@
     Reason.UNKNOWN_STEP: 404,
     Reason.DEADLINE_EXPIRED: 504,
     Reason.OVERLOADED: 429,
+    Reason.NO_CAPACITY: 429,
     Reason.KEY_REUSED: 422,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.UPSTREAM_LOST: 502,
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -20,11 +20,13 @@
     Reason.BAD_REQUEST: 400,
     Reason.BODY_TOO_LARGE: 413,
     Reason.HEADERS_TOO_LARGE: 431,
+    Reason.NO_CAPACITY: 429,
 }
 # Status codes of failures that have no code of their own in `STATUS_BY_REASON`.
 FAILED_STATUS = 502
 EXPIRED_STATUS = 504
 REFUSED_STATUS = 503
+RETRY_STATUSES = (429, REFUSED_STATUS)
 # Room comes back as jobs end or leave their retention period, which takes seconds.
 JOBS_FULL_RETRY_S = 2.0
 
@@ -118,6 +120,11 @@
             return refusal_response(
                 not_run(Reason.OVERLOADED, detail, JOBS_FULL_RETRY_S), request_id
             )
+        if isinstance(reply, calls.JobRefused):
+            detail = "no group of the job can be complete in time"
+            return refusal_response(
+                not_run(Reason.NO_CAPACITY, detail, reply.retry_after_s), request_id
+            )
         return web.Response(status=EXPIRED_STATUS)
 
     async def on_results(self, request: web.Request) -> web.Response:
@@ -224,7 +231,7 @@
         expired = refusal.reason is Reason.DEADLINE_EXPIRED
         status = EXPIRED_STATUS if expired else FAILED_STATUS
     headers = {names.REQUEST_ID: request_id} if request_id else {}
-    if refusal.retry_after_s is not None and status == REFUSED_STATUS:
+    if refusal.retry_after_s is not None and status in RETRY_STATUSES:
         headers[names.RETRY_AFTER] = f"{refusal.retry_after_s:.3f}"
     return web.json_response(refusal.problem(request_id), status=status, headers=headers)
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import random
-import statistics
-import time
 from collections import Counter
 
-import pytest
-from attrs import define, evolve, field
+from attrs import define, field
 
 from apricotvale.jobs import Item, ItemState, Job, Result
 from apricotvale.jobs.backlog import OpenJob, group_work, plan_items
@@ -64,7 +61,7 @@
         self.overload.update(overload_ratio(works, room, self.now), self.now)
         if self.plans and self.overload.is_active:
             served = self.shares.by_owner(pace)
-            order, _ = plan_items(self.jobs, works, room, self.running, served, self.now)
+            order, _ = plan_items(self.jobs, works, room, self.running, {}, served, self.now)
         else:
             order = self.order_without_plan(pace)
         for waiting in order[: self.slots - len(self.running)]:
