--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -152,7 +152,8 @@
             planned += [
                 candidate
                 for candidate in pool.order or ()
-                if (candidate.job.job_id, candidate.item.item_id) not in self.runs
+                if self.capacity.is_planned(candidate.job.job_id)
+                and (candidate.job.job_id, candidate.item.item_id) not in self.runs
                 and not self.state.jobs.is_finished(candidate.job.job_id, candidate.item.item_id)
             ]
         for record in records:
--- a/src/apricotvale/jobs/planning.py
+++ b/src/apricotvale/jobs/planning.py
@@ -28,7 +28,7 @@
 # Share of the capacity that is guaranteed to the less urgent classes while they have work.
 GUARANTEED_SHARE = 0.25
 
-# Among groups that fit, this much later due time weighs as much as a second of work less. In
+# Among begun groups, this much later due time weighs as much as a second of work less. In
 # replays with 2.2 times the capacity, due time alone completed a tenth fewer groups in time.
 DUE_S_PER_WORK_S = 2.0
 
@@ -95,10 +95,14 @@
 
 @frozen
 class PlannedGroup:
-    """A group at its position in the plan."""
+    """A group at its position in the plan.
+
+    :param turn: number of the turn in which its owner picked it, 0 for a group that is not in time.
+    """
 
     work: GroupWork
     prospect: Prospect
+    turn: int = 0
 
 
 def overload_ratio(groups: Iterable[GroupWork], room: Room, now: float) -> float:
@@ -276,7 +280,10 @@
         select_in_time(members, selection)
         late += plan_late(members, selection)
         ledger.release(held)
-    planned = [PlannedGroup(group, Prospect.IN_TIME) for group in selection.chosen.values()]
+    planned = [
+        PlannedGroup(group, Prospect.IN_TIME, turn)
+        for turn, group in enumerate(selection.chosen.values())
+    ]
     planned += late
     known = {id(entry.work) for entry in planned}
     for group in groups:
@@ -291,13 +298,17 @@
 def start_order(entry: PlannedGroup, missing: dict[str, int]) -> tuple[float, ...]:
     """Return the sort key of a planned group within the whole plan.
 
-    Groups with little remaining work go first: outputs are often several times as long as stated,
-    and a group that is complete is no longer at risk.
+    Groups that have not begun start in the order in which their owners picked them, so that
+    outputs longer than stated cost each owner its part. Of those that have begun, the ones with
+    little remaining work go first: a complete group is no longer at risk.
     """
     group = entry.work
     first: float = missing.get(group.job_id, 0) if entry.prospect is not Prospect.IN_TIME else 0
+    begun = not group.has_begun
+    if entry.prospect is Prospect.IN_TIME and not group.has_begun:
+        return (entry.prospect, group.urgency, first, begun, entry.turn)
     rank = group.due_at + DUE_S_PER_WORK_S * group.waiting_s
-    return (entry.prospect, group.urgency, first, not group.has_begun, rank, group.waiting_s)
+    return (entry.prospect, group.urgency, first, begun, rank)
 
 
 def selection_order(group: GroupWork) -> tuple[float, ...]:
@@ -319,7 +330,8 @@
             queues.setdefault(group.owner, []).append(group)
     picked: dict[Owner, list[tuple[float, int, GroupWork]]] = {owner: [] for owner in queues}
     for queue in queues.values():
-        queue.sort(key=selection_order, reverse=True)
+        queue.sort(key=selection_order)
+        queue.reverse()
     turns = [selection.turn(queue[-1]) for queue in queues.values()]
     heapq.heapify(turns)
     while turns:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -3,14 +3,24 @@
 from __future__ import annotations
 
 import random
+import time
 from collections import Counter
 
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 
 from apricotvale.jobs import Item, ItemState, Job, Result
-from apricotvale.jobs.backlog import OpenJob, group_work, plan_items
-from apricotvale.jobs.planning import LATE_S, Overload, Room, overload_ratio
+from apricotvale.jobs.backlog import OpenJob, group_work, plan_items, remaining_seconds
+from apricotvale.jobs.planning import (
+    LATE_S,
+    GroupWork,
+    Overload,
+    Prospect,
+    Room,
+    guaranteed_first,
+    overload_ratio,
+    plan_groups,
+)
 from apricotvale.jobs.scheduling import sort_by_priority, waiting_items
 from apricotvale.jobs.shares import Shares
 from apricotvale.routes import Backend, Route, RouteKind
@@ -200,12 +210,16 @@
     fit = groups_that_fit(jobs, slots)
     planned = complete_in_time(run_at_once(jobs, slots, True, seed))
     least_slack = complete_in_time(run_at_once(jobs, slots, False, seed))
-    print("A", fit, planned, least_slack)
+    assert planned >= 0.75 * fit > least_slack
 
 
 @pytest.mark.parametrize("seed", range(3))
 def test_a_customer_with_ten_times_its_share_does_not_displace_others(seed):
-    """Load pattern: one customer submits ten times as much work as each other one."""
+    """Load pattern: one customer submits ten times as much work as each other one.
+
+    Each other customer needs less than its share, so at least four fifths of their groups must be
+    complete in time.
+    """
     rng = random.Random(seed)
     jobs = [make_job(f"large-{n}", rng, 4, 8, "", "large") for n in range(10)]
     jobs += [make_job(f"small-{n}", rng, 4, 8, "", f"small-{n}") for n in range(3)]
@@ -213,12 +227,15 @@
     wanted = sum(job.wanted_groups for job in jobs if job.job_id.startswith("small"))
     planned = complete_in_time(run_at_once(jobs, slots, True, seed), "small")
     least_slack = complete_in_time(run_at_once(jobs, slots, False, seed), "small")
-    print("B", wanted, planned, least_slack)
+    assert planned >= 0.8 * wanted > least_slack
 
 
 @pytest.mark.parametrize("seed", range(3))
 def test_a_step_that_cannot_be_in_time_does_not_delay_one_that_can(seed):
-    """Load pattern: a step whose due time is near and a new one that fits."""
+    """Load pattern: a step whose due time is near and a new one that fits.
+
+    At least four fifths of the wanted groups of the new step must be complete in time.
+    """
     rng = random.Random(seed)
     late, new = make_job("late-0", rng, 12, 16, "l", scale=3.0), make_job("new-0", rng, 8, 8, "n")
     slots = slots_for([new], 0.8)
@@ -233,14 +250,15 @@
         complete_in_time(run_at_once([late, new], slots, plans, seed, submit_earlier), "new")
         for plans in (True, False)
     )
-    print("C", new.wanted_groups, planned, least_slack)
+    assert planned >= 0.8 * new.wanted_groups > least_slack
 
 
 @pytest.mark.parametrize("seed", range(3))
 def test_a_new_leader_finishes_begun_groups_first(seed):
     """Load pattern: a leader's first second with all jobs open, half of their groups begun.
 
-    The new leader knows the begun groups from results and saved progress only.
+    The new leader knows the begun groups from results and saved progress only. At least nine tenths
+    of them must be complete in time.
     """
     jobs = jobs_of(random.Random(seed), "abcd", 12)
     slots = slots_for(jobs, 2.2)
@@ -262,4 +280,138 @@
         replay = run_at_once(jobs, slots, plans, seed, take_over)
         done = sum(replay.finished_at.get(key, GIVE_UP_S) <= IN_TIME_S for key in begun)
         shares.append(done / len(begun))
-    print("D", shares)
+    assert shares[0] >= 0.9 > shares[1]
+
+
+@pytest.mark.parametrize("load", [2.2, 1.3])
+def test_the_plan_completes_more_groups_of_consecutive_steps(load):
+    """Load pattern: a step of each of three trainers each 4 s, beyond the capacity for 24 s."""
+    planned, least_slack = (sum(run_steps(load, plans, 1).values()) for plans in (True, False))
+    assert planned > 1.05 * least_slack
+
+
+def test_steps_within_the_capacity_start_in_the_order_of_least_slack():
+    """Guards against a change of the order of items while there is no overload."""
+    assert run_steps(0.7, True, 1, steps=3) == run_steps(0.7, False, 1, steps=3)
+    replay = Replay(100, True, random.Random(1))
+    replay.submit(make_job("a-0", replay.rng))
+    replay.tick()
+    assert not replay.overload.is_active
+
+
+def work(group, waiting_s=1.0, **changes):
+    held = GroupWork("j", group, 0, ("", "m"), 10.0, 14.0, waiting_s, waiting_s, 0.5)
+    return evolve(held, **changes)
+
+
+def prospects(groups, slots=1, needed=9, now=0.0, served=None):
+    jobs = {group.job_id: needed for group in groups}
+    plan = plan_groups(groups, jobs, Room(slots), served or {}, now)
+    return {entry.work.group: entry.prospect for entry in plan}
+
+
+def test_the_largest_group_that_has_not_begun_is_postponed():
+    """Guards against one large group that takes the place of several small ones."""
+    groups = [work("large", 8.0, due_at=9.0), work("begun", 5.0, has_begun=True)]
+    groups += [work("a", 2.0), work("b", 2.0)]
+    found = prospects(groups)
+    assert [found[name] for name in ("begun", "a", "b")] == [Prospect.IN_TIME] * 3
+    assert found["large"] is not Prospect.IN_TIME
+
+
+def test_a_spare_group_counts_as_wanted_if_a_wanted_one_cannot_be_in_time():
+    """Guards against a step that waits for a group with an item that is too long."""
+    groups = [work("long", longest_s=11.0), work("a"), work("spare", is_spare=True)]
+    found = prospects(groups, needed=2)
+    assert found["a"] is found["spare"] is Prospect.IN_TIME
+    assert found["long"] is not Prospect.IN_TIME
+    found = prospects([work("a"), work("b"), work("spare", is_spare=True)], needed=2)
+    assert found["spare"] is Prospect.SPARE
+
+
+def test_a_repeated_group_is_planned_beyond_the_wanted_number():
+    """Guards against a trainer that waits for a group from an earlier job until it gives up."""
+    groups = [work("a", has_begun=True), work("again", 3.0, is_repeated=True)]
+    assert prospects(groups, needed=1)["again"] is Prospect.IN_TIME
+
+
+def test_groups_of_a_job_past_its_give_up_time_and_failed_groups_come_last():
+    """Guards against work for a trainer that no longer waits."""
+    groups = [work("old", give_up_at=1.0), work("failed", can_complete=False), work("late", 5.0)]
+    plan = plan_groups(groups, {"j": 3}, Room(1), {}, 9.0)
+    assert [entry.work.group for entry in plan] == ["late", "failed", "old"]
+
+
+def test_a_less_urgent_class_keeps_a_quarter_of_the_capacity():
+    """Load pattern: an urgent class has more work than fits for as long as it lasts."""
+    groups = [work(f"u{n}", 2.0, job_id="u", urgency=1) for n in range(20)]
+    groups += [work(f"l{n}", 2.0, job_id="l", urgency=5) for n in range(20)]
+    found = prospects(groups, slots=4, needed=20)
+    urgent = sum(found[f"u{n}"] is Prospect.IN_TIME for n in range(20))
+    less = sum(found[f"l{n}"] is Prospect.IN_TIME for n in range(20))
+    assert (urgent, less) == (16, 5)
+    assert guaranteed_first([1, 5], 40, {5: 4}) == {5: 6}
+    few = [group for group in groups if group.urgency == 5 or group.group in ("u0", "u1")]
+    found = prospects(few, slots=4, needed=20)
+    assert sum(prospect is Prospect.IN_TIME for prospect in found.values()) == 21
+
+
+def test_the_owner_that_was_served_least_picks_first():
+    """Guards against a trainer that gets its share once more right after it was served."""
+    groups = [work(f"a{n}", 4.0, owner=("", "a"), job_id="a") for n in range(2)]
+    groups += [work(f"b{n}", 4.0, owner=("", "b"), job_id="b") for n in range(2)]
+    found = prospects(groups, served={("", "a"): 30.0})
+    assert [name for name, prospect in found.items() if prospect is Prospect.IN_TIME] == [
+        "b0",
+        "b1",
+    ]
+
+
+def test_shares_decay_and_count_tokens():
+    """Guards against shares that remember work of minutes ago."""
+    shares = Shares()
+    shares.decay(0.0)
+    shares.add(0, ("c", "m"), 1_000.0)
+    shares.decay(10.0)
+    assert shares.by_owner(0.001)["c", "m"] == pytest.approx(0.368, abs=0.001)
+    shares.decay(200.0)
+    assert shares.by_owner(0.001) == {}
+
+
+def test_overload_ends_after_a_second_below_the_lower_ratio():
+    """Guards against an order that alternates while the load is close to the capacity."""
+    overload = Overload()
+    times = [(0.0, 0.99), (0.1, 1.01), (0.2, 0.9), (1.5, 0.9), (1.6, 0.8), (2.5, 0.8), (2.6, 0.8)]
+    assert [overload.update(ratio, now) for now, ratio in times] == [
+        False,
+        True,
+        False,
+        False,
+        False,
+        False,
+        True,
+    ]
+
+
+@pytest.mark.parametrize(("generated_s", "left_s"), [(0.5, 1.5), (1.9, 0.1), (3.0, 3.0)])
+def test_an_item_longer_than_expected_counts_twice_what_it_generated(generated_s, left_s):
+    """Guards against groups that seem complete soon because an estimate was too low."""
+    assert remaining_seconds(2.0, generated_s) == pytest.approx(left_s)
+
+
+def test_a_plan_for_2000_items_takes_milliseconds():
+    """Guards against a plan that holds up the leader's commits; measured at 2 to 3 ms."""
+    replay = Replay(130, True, random.Random(1))
+    for number in range(8):
+        replay.submit(make_job(f"j-{number}", replay.rng, 20, 13, "abcd"[number % 4]))
+    replay.tick()
+    elapsed = dict.fromkeys(replay.running, 0.2)
+    times = []
+    for _ in range(10):
+        started = time.perf_counter()
+        works, running_s = group_work(replay.jobs.values(), elapsed, elapsed, 0.001)
+        room = Room(130, tuple(running_s))
+        overload_ratio(works, room, 1.0)
+        plan_items(replay.jobs, works, room, elapsed, {}, {}, 1.0)
+        times.append(time.perf_counter() - started)
+    assert min(times) < 0.015
