Let a new leader know when jobs are due, and consider withheld second copies again

A new leader counted all open jobs as submitted when it began to lead, so that steps due at once looked like new ones. A second copy that found all slots taken was never sent later.

--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -16,7 +16,8 @@
 from apricotvale.settings.schema import Routing
 
 RETRY_AFTER_S = 0.2
-# An upstream that refused a request for lack of a slot counts as full for this long.
+# An upstream that refused a request for lack of a slot counts as full for this long. A second copy
+# that was not sent is considered again after this time.
 FULL_S = 0.2
 # A service counts as short of slots for this long after such a refusal.
 SHORTAGE_S = 1.0
@@ -50,6 +51,8 @@
         try:
             while True:
                 now = clock.now()
+                if request.may_send(now) and request.in_flight and self.is_full(route, call, now):
+                    request.hedge_at = now + FULL_S
                 if request.may_send(now):
                     upstream = self.choose(request, call, now)
                     if upstream is not None:
@@ -77,15 +80,6 @@
             candidates = self.view.ready(service)
             if not candidates:
                 continue
-            if request.in_flight and self.is_service_full(candidates, now):
-                events.emit(
-                    events.HEDGE_WITHHELD,
-                    request=call.request_id,
-                    service=service,
-                    candidates=len(candidates),
-                    view=self.view.position,
-                )
-                continue
             choice = self.router.choose(candidates, now, excluded=request.tried)
             if isinstance(choice, Refusal):
                 continue
@@ -102,6 +96,25 @@
             return choice.member
         return None
 
+    def is_full(self, route: Route, call: Call, now: float) -> bool:
+        """Return whether no service of a route has a slot for a second copy, and log it."""
+        candidates = [
+            upstream
+            for backend in route.backends
+            if backend.weight > 0
+            for upstream in self.view.ready(backend.service)
+        ]
+        if not self.is_service_full(candidates, now):
+            return False
+        events.emit(
+            events.HEDGE_WITHHELD,
+            request=call.request_id,
+            route=route.name,
+            candidates=len(candidates),
+            view=self.view.position,
+        )
+        return True
+
     def is_service_full(self, candidates: list[Upstream], now: float) -> bool:
         """Return whether all slots of a service are taken, as seen by this process.
 
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -92,7 +92,7 @@
 
     `run_pace` is the time of complete runs for each expected token of their output.
     `runs` holds the items that run now and `waiting` those whose run was interrupted, both by job
-    id and item id. `seen_at` holds the time at which this leader first saw each job.
+    id and item id. `seen_at` holds the time at which this replica first saw each job.
     """
 
     def __init__(
@@ -133,7 +133,8 @@
         for key in [key for key in self.waiting if key[0] not in wanted]:
             del self.waiting[key]
         for record in records:
-            self.seen_at.setdefault(record.job.job_id, now)
+            job_id = record.job.job_id
+            self.seen_at.setdefault(job_id, min(now, self.state.jobs.applied_at.get(job_id, now)))
         self.start_items(self.find_waiting(records, now), now)
         if now >= self.next_move_at:
             self.next_move_at = now + MOVE_INTERVAL_S
--- a/src/apricotvale/jobs/store.py
+++ b/src/apricotvale/jobs/store.py
@@ -6,6 +6,7 @@
 
 from attrs import define, evolve, field
 
+from apricotvale import clock
 from apricotvale.jobs.types import Item, Job, Progress, Result
 
 # Estimate for the output of an item that is not finished.
@@ -43,13 +44,15 @@
 
     `changed` holds the ids of the jobs whose record, apart from its results, changed since the last
     snapshot. `news` holds the ids of the jobs that have something new for their readers; its owner
-    clears it.
+    clears it. `applied_at` holds the local time at which each job was accepted, so that a new
+    leader knows when a job is due; it is not replicated, and a restart loses it.
     """
 
     def __init__(self, state: JobBookState) -> None:
         self.state = state
         self.changed: set[str] = set()
         self.news: set[str] = set()
+        self.applied_at: dict[str, float] = {}
         self.finished_items: dict[str, set[str]] = {
             job_id: {result.item_id for result in record.results}
             for job_id, record in state.records.items()
@@ -61,6 +64,7 @@
             return False
         self.state.records[job.job_id] = JobRecord(job, index)
         self.finished_items[job.job_id] = set()
+        self.applied_at[job.job_id] = clock.now()
         self.changed.add(job.job_id)
         return True
 
@@ -113,6 +117,7 @@
         """Delete a job whose retention period has passed; return whether it was known."""
         self.news.add(job_id)
         self.finished_items.pop(job_id, None)
+        self.applied_at.pop(job_id, None)
         return self.state.records.pop(job_id, None) is not None
 
     def held_bytes(self) -> int:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -260,3 +260,32 @@
     left = waiting_of(runner, 100.01)
     assert {candidate.job.job_id for candidate in left} == {"j-2"}
     assert done not in {candidate.item.item_id for candidate in left}
+
+
+def test_a_new_leader_knows_how_long_jobs_have_been_open(monkeypatch):
+    """Load pattern: a leader's first second with all jobs open.
+
+    Guards against a step that is due now and counts as just submitted after a change of leader.
+    """
+    now = [100.0]
+    monkeypatch.setattr("apricotvale.clock.now", lambda: now[0])
+    runner = make_runner([make_job("j-1", 40)], engines=0)
+    runner.tick(106.0)
+    assert runner.seen_at["j-1"] == 100.0
+
+
+def test_runs_of_a_job_past_its_give_up_time_stop_for_items_that_can_be_in_time():
+    """Load pattern: the slots are full of items of a step whose trainer has given up."""
+    old, new = make_job("j-1", 40), make_job("j-2", 40)
+    runner = make_runner([old, new])
+    runner.seen_at["j-1"] = 80.0
+    for candidate in old.items[:11]:
+        run = runner.runs["j-1", candidate.item_id] = runner.create_run(old, candidate)
+        run.engine, run.started_at = Upstream("e-0", 1, 1, "lm", "x", "a", 6, Standing.READY), 99.0
+    waiting_of(runner, 100.0)
+    assert not any(run.move_requested for run in runner.runs.values())
+    candidate = old.items[11]
+    run = runner.runs["j-1", candidate.item_id] = runner.create_run(old, candidate)
+    run.engine, run.started_at = Upstream("e-1", 1, 1, "lm", "x", "a", 6, Standing.READY), 99.0
+    waiting_of(runner, 100.1)
+    assert all(run.move_requested for run in runner.runs.values())
