--- a/src/apricotvale/jobs/planning.py
+++ b/src/apricotvale/jobs/planning.py
@@ -28,10 +28,6 @@
 # Share of the capacity that is guaranteed to the less urgent classes while they have work.
 GUARANTEED_SHARE = 0.25
 
-# Among begun groups, this much later due time weighs as much as a second of work less. In
-# replays with 2.2 times the capacity, due time alone completed a tenth fewer groups in time.
-DUE_S_PER_WORK_S = 2.0
-
 Owner = tuple[str, str]
 
 
@@ -97,7 +93,7 @@
 class PlannedGroup:
     """A group at its position in the plan.
 
-    :param turn: number of the turn in which its owner picked it, 0 for a group that is not in time.
+    :param turn: position in which it was selected, 0 for a group that is not in time.
     """
 
     work: GroupWork
@@ -298,17 +294,14 @@
 def start_order(entry: PlannedGroup, missing: dict[str, int]) -> tuple[float, ...]:
     """Return the sort key of a planned group within the whole plan.
 
-    Groups that have not begun start in the order in which their owners picked them, so that
-    outputs longer than stated cost each owner its part. Of those that have begun, the ones with
-    little remaining work go first: a complete group is no longer at risk.
+    Groups that can be in time start in the order in which they were selected: begun ones first,
+    then in the turns of their owners, so that outputs longer than stated cost each owner its part.
     """
     group = entry.work
-    first: float = missing.get(group.job_id, 0) if entry.prospect is not Prospect.IN_TIME else 0
+    if entry.prospect is Prospect.IN_TIME:
+        return (entry.prospect, group.urgency, entry.turn)
     begun = not group.has_begun
-    if entry.prospect is Prospect.IN_TIME and not group.has_begun:
-        return (entry.prospect, group.urgency, first, begun, entry.turn)
-    rank = group.due_at + DUE_S_PER_WORK_S * group.waiting_s
-    return (entry.prospect, group.urgency, first, begun, rank)
+    return (entry.prospect, group.urgency, missing.get(group.job_id, 0), begun, group.due_at)
 
 
 def selection_order(group: GroupWork) -> tuple[float, ...]:
