--- a/src/apricotvale/fleet/calls.py
+++ b/src/apricotvale/fleet/calls.py
@@ -182,6 +182,16 @@
     """The job was rejected and will not run: its id belongs to a job of another customer."""
 
 
+@frozen
+class JobRefused:
+    """The job was refused and will not run: no group of it could be complete in time.
+
+    :param retry_after_s: time until capacity is expected.
+    """
+
+    retry_after_s: float = 1.0
+
+
 @frozen
 class TooFewLeft:
     """The retirement would leave too few replicas."""
@@ -241,6 +251,7 @@
     | HeartbeatRejected
     | JobsFull
     | NotOwner
+    | JobRefused
     | TooFewLeft
     | TableRead
     | RetirementRead
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -45,6 +45,11 @@
 CALLERS_CUT = Counter(
     "apricotvale_callers_cut", "Callers disconnected because they did not read their answer."
 )
+WORK_RATIO = Gauge("apricotvale_work_ratio", "Largest ratio of work due to capacity.")
+GROUPS_POSTPONED = Counter(
+    "apricotvale_groups_postponed", "Groups that could not be complete in time."
+)
+ITEMS_WAITING = Gauge("apricotvale_items_waiting", "Waiting items by class of urgency.", ["class"])
 LOG_LINES_DROPPED = Counter("apricotvale_log_lines_dropped", "Log lines over the bound.")
 METRICS_PATH = "/metrics"
 
--- a/src/apricotvale/outcomes.py
+++ b/src/apricotvale/outcomes.py
@@ -45,6 +45,7 @@
     ISLAND = "island"
     UNKNOWN_KEY = "unknown_key"
     JOB_ID_TAKEN = "job_id_taken"
+    NO_CAPACITY = "no_capacity"
 
 
 STATUS_BY_REASON = {
@@ -58,6 +59,7 @@
     Reason.UNKNOWN_STEP: 404,
     Reason.DEADLINE_EXPIRED: 504,
     Reason.OVERLOADED: 429,
+    Reason.NO_CAPACITY: 429,
     Reason.KEY_REUSED: 422,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.UPSTREAM_LOST: 502,
