Record when the attempt that ran was sent

Usage is counted in the window in which an upstream began to run a request. With a second copy in flight the retry state did not tell which copy ran, nor when it was sent. It now keeps both, and the forwarder accepts the state of a caller that reads it after a cancellation.

--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -33,14 +33,19 @@
         self.rng = random.Random()
         self.router = Router(site, Routing(), self.rng)
 
-    async def forward(self, route: Route, call: Call) -> Answer | Refusal:
+    async def forward(
+        self, route: Route, call: Call, request: ForwardedRequest | None = None
+    ) -> Answer | Refusal:
         """Forward a request and return its final answer or refusal.
 
         Cancellation closes the connections of all attempts, so that the upstreams stop working on
         them.
+
+        :param request: the state to use, for a caller that reads it afterwards.
         """
-        request = ForwardedRequest(route, call.deadline)
+        request = request or ForwardedRequest(route, call.deadline)
         attempts: set[asyncio.Task[Answer | Refusal]] = set()
+        sent_at: dict[asyncio.Task[Answer | Refusal], float] = {}
         try:
             while True:
                 now = clock.now()
@@ -48,7 +53,9 @@
                     upstream = self.choose(request, call, now)
                     if upstream is not None:
                         request.begin(upstream.incarnation, now)
-                        attempts.add(asyncio.create_task(self.send(upstream, call)))
+                        task = asyncio.create_task(self.send(upstream, call))
+                        attempts.add(task)
+                        sent_at[task] = now
                         continue
                     request.hedge_at = float("inf")
                 if not attempts or now >= call.deadline:
@@ -58,7 +65,7 @@
                     attempts, timeout=max(0.0, wait_s), return_when=asyncio.FIRST_COMPLETED
                 )
                 for task in done:
-                    answer = request.finish(task.result())
+                    answer = request.finish(task.result(), sent_at[task])
                     if answer is not None:
                         return answer
         finally:
--- a/src/apricotvale/requests/calls.py
+++ b/src/apricotvale/requests/calls.py
@@ -20,6 +20,7 @@
     :param target: path and query as received from the caller.
     :param headers: the caller's end-to-end header fields.
     :param deadline: on `clock.now`, in seconds; the remaining time is sent with the request.
+    :param customer: the caller's customer; None without customers, empty on public routes.
     """
 
     method: str
@@ -29,6 +30,7 @@
     body: bytes
     deadline: float
     headers: tuple[tuple[str, str], ...] = ()
+    customer: str | None = None
 
 
 @frozen
--- a/src/apricotvale/requests/forwarding.py
+++ b/src/apricotvale/requests/forwarding.py
@@ -29,9 +29,12 @@
     :param deadline: latest time at which the caller is answered, in seconds.
     :param tried: incarnations to which the request was sent.
     :param in_flight: number of copies in flight.
+    :param in_flight_since: when each of the copies in flight was sent.
     :param may_have_run: number of finished copies that ran or may have run.
     :param hedge_at: time from which a second copy may be sent while one is in flight; infinite for
         a route without a latency objective.
+    :param answered_since: when the first copy that got an answer was sent, None without one.
+    :param unknown_since: when the first copy that may have run without an answer was sent.
     :param last_server_error: the last server error answered to a repeatable request.
     """
 
@@ -39,6 +42,9 @@
     deadline: float
     tried: list[str] = field(factory=list)
     in_flight: int = 0
+    in_flight_since: list[float] = field(factory=list)
+    answered_since: float | None = None
+    unknown_since: float | None = None
     may_have_run: int = 0
     server_errors: int = 0
     hedge_at: float = float("inf")
@@ -50,6 +56,17 @@
         """Return whether the request may run more than once."""
         return self.route.kind is RouteKind.SAFE
 
+    @property
+    def ran_at(self) -> float | None:
+        """Return when the attempt that ran, or may have run, was sent; None if none did.
+
+        An attempt that got an answer takes precedence over those that may have run.
+        """
+        if self.answered_since is not None:
+            return self.answered_since
+        known = [] if self.unknown_since is None else [self.unknown_since]
+        return min([*known, *self.in_flight_since], default=None)
+
     def may_send(self, now: float) -> bool:
         """Return whether the request may be sent to another upstream now."""
         if now >= self.deadline or len(self.tried) >= MAX_SENDS:
@@ -64,15 +81,24 @@
         """Record that a copy is sent to an upstream."""
         self.tried.append(incarnation)
         self.in_flight += 1
+        self.in_flight_since.append(now)
         hedge_delay_s = self.route.objective_ms / 1000 * HEDGE_OBJECTIVE_SHARE
         self.hedge_at = now + hedge_delay_s if hedge_delay_s else float("inf")
 
-    def finish(self, result: Answer | Refusal) -> Answer | None:
+    def finish(self, result: Answer | Refusal, sent_at: float | None = None) -> Answer | None:
         """Record the result of a copy; return the answer if it is final.
 
         A server error is not final for a repeatable request, but is kept for `final_result`.
+
+        :param sent_at: when the copy was sent; the copy sent first if left out.
         """
         self.in_flight -= 1
+        since = min(self.in_flight_since) if sent_at is None else sent_at
+        self.in_flight_since.remove(since)
+        if not isinstance(result, Refusal):
+            self.answered_since = earlier(self.answered_since, since)
+        elif result.ran is not Ran.NOT_RUN:
+            self.unknown_since = earlier(self.unknown_since, since)
         if isinstance(result, Refusal):
             self.may_have_run += result.ran is not Ran.NOT_RUN
             self.refusal = result
@@ -98,3 +124,8 @@
         return not_run(
             reason, f"no upstream accepted the request in {len(self.tried)} attempts", retry_after_s
         )
+
+
+def earlier(known: float | None, at: float) -> float:
+    """Return the earlier of a time that may be missing and another one."""
+    return at if known is None else min(known, at)
