Keep usage by window and customer in the replicated state

A leader that is lost between closing a window and reporting it must not lead to another report of the window with other counts. Cumulative reports are therefore committed, windows are closed by a command, and every replica has the same sums.

--- /dev/null
+++ b/src/apricotvale/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Singleton tasks of the control leader: usage by customer, reported to the infrastructure."""
--- a/src/apricotvale/fleet/calls.py
+++ b/src/apricotvale/fleet/calls.py
@@ -13,6 +13,7 @@
     Unconfirmed,
 )
 from apricotvale.discovery import Upstream, UpstreamDelta
+from apricotvale.duties.usage import UsageReport
 from apricotvale.jobs import Job, Result
 
 
@@ -109,6 +110,25 @@
     wait_ms: int
 
 
+@frozen
+class ReportUsage:
+    """Report an entry's counts, and its estimate of true time.
+
+    The estimate is an offset to the boot-time clock of the leader and not a point in time, so that
+    it stays right if the call is delayed or sent again.
+
+    :param leader: the leadership whose clock the offset refers to; empty if the entry has not
+        compared its clock yet.
+    :param offset_s: estimate of true time less the boot-time clock of that leader, in seconds.
+    :param is_synced: whether a leader has confirmed or corrected the estimate.
+    """
+
+    report: UsageReport
+    leader: str = ""
+    offset_s: float = 0.0
+    is_synced: bool = False
+
+
 FleetRequest = (
     PutTable
     | ReadTable
@@ -122,6 +142,7 @@
     | ReadItem
     | EndJob
     | Watch
+    | ReportUsage
     | JoinProbe
     | ReadPart
 )
@@ -191,6 +212,24 @@
     addresses: list[str] = field(factory=list)
 
 
+@frozen
+class UsageAck:
+    """The counts of a report are committed.
+
+    :param closed_before: the first window that is not closed; 0 before customers are in force.
+    :param leader: identifies the leadership.
+    :param clock_s: the leader's boot-time clock, in seconds.
+    :param held_s: time between receipt and reply, in seconds.
+    :param offset_s: true time less the leader's boot-time clock, None if it is not agreed on yet.
+    """
+
+    closed_before: int
+    leader: str
+    clock_s: float
+    held_s: float
+    offset_s: float | None = None
+
+
 FleetReply = (
     Redirect
     | Unconfirmed
@@ -205,4 +244,5 @@
     | ResultsRead
     | ItemRead
     | WatchReply
+    | UsageAck
 )
--- a/src/apricotvale/fleet/commands.py
+++ b/src/apricotvale/fleet/commands.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from apricotvale.discovery import Upstream
+from apricotvale.duties.usage import UsageReport
 from apricotvale.jobs import Job, Progress, Result
 
 
@@ -101,6 +102,34 @@
     name: str
 
 
+@frozen
+class BeginUsage:
+    """Set the first window of which the usage is reported."""
+
+    window: int
+
+
+@frozen
+class RecordUsage:
+    """Record the counts that entries have reported."""
+
+    reports: list[UsageReport]
+
+
+@frozen
+class CloseUsage:
+    """Close a window; its counts are final."""
+
+    window: int
+
+
+@frozen
+class ConfirmUsage:
+    """Record that a closed window was reported or given up."""
+
+    window: int
+
+
 Command = (
     PutTable
     | Announce
@@ -113,6 +142,10 @@
     | EndJob
     | ForgetJob
     | Retire
+    | BeginUsage
+    | RecordUsage
+    | CloseUsage
+    | ConfirmUsage
 )
 
 
--- a/src/apricotvale/fleet/state.py
+++ b/src/apricotvale/fleet/state.py
@@ -9,6 +9,7 @@
 from apricotvale.codec import decode, encode
 from apricotvale.consensus.messages import Entry, EntryKind, Part
 from apricotvale.discovery import Registry, RegistryState
+from apricotvale.duties.usage import UsageBook, UsageState
 from apricotvale.fleet import commands as c
 from apricotvale.jobs import JobBookState, JobStore
 from apricotvale.jobs.parts import JobParts
@@ -36,6 +37,7 @@
     targets: dict[str, int] = field(factory=dict)
     jobs: JobBookState = field(factory=JobBookState)
     retiring: list[str] = field(factory=list)
+    usage: UsageState = field(factory=UsageState)
 
 
 class FleetState:
@@ -52,11 +54,17 @@
         self.targets = image.targets
         self.jobs = JobStore(image.jobs)
         self.retiring = image.retiring
+        self.usage = UsageBook(image.usage)
 
     def dump(self) -> bytes:
         """Return the root of a snapshot, which holds everything but the jobs."""
         image = FleetImage(
-            self.table, self.registry.state, self.targets, JobBookState(), self.retiring
+            self.table,
+            self.registry.state,
+            self.targets,
+            JobBookState(),
+            self.retiring,
+            self.usage.state,
         )
         return encode(image, FleetImage)
 
@@ -109,6 +117,15 @@
                 return c.Applied(self.jobs.forget(command.job_id))
             case c.Retire():
                 return self.retire(command)
+            case c.BeginUsage():
+                return c.Applied(self.usage.begin(command.window))
+            case c.RecordUsage():
+                self.usage.record(command.reports)
+                return c.Applied()
+            case c.CloseUsage():
+                return c.Applied(self.usage.close(command.window))
+            case c.ConfirmUsage():
+                return c.Applied(self.usage.confirm(command.window))
 
     def put_table(self, command: c.PutTable) -> c.Applied:
         """Store a route table if it is newer than the current one."""
