Report usage to the infrastructure by the control leader

No usage was counted or reported. Entries count requests by customer and report them to the leader, which closes windows in agreed true time and calls the infrastructure under its term. A leader that was elected again has no valid lease before its leader tasks have noticed the new term.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -17,6 +17,7 @@
 from apricotvale.consensus.storage import Storage
 from apricotvale.consensus.types import GroupPolicy, NotLeader, Timing
 from apricotvale.control.calls import JoinProbe, ReadPart, Redirect, Unconfirmed
+from apricotvale.daemons.duty_holder import DutyHolder
 from apricotvale.daemons.fleet_link import FLEET
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.job_runner import SAVE_INTERVAL_S, JobRunner
@@ -27,6 +28,7 @@
 from apricotvale.daemons.rpc import ControlService, make_server
 from apricotvale.daemons.runtime import TaskGroup, wait_event, wait_until_stopped
 from apricotvale.discovery import RegistryView, Upstream
+from apricotvale.duties.reporting import Infrastructure
 from apricotvale.exceptions import ApricotvaleError
 from apricotvale.fleet import calls
 from apricotvale.fleet import commands as c
@@ -74,6 +76,7 @@
     :param client: client for calls to upstreams.
     :param parse_table: decodes the document of a route table.
     :param version_field: name of the event-stream field that announces a new weight version.
+    :param infrastructure: client for the calls that only the leader makes, None without them.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         client: UpstreamClient,
         parse_table: Callable[[bytes], RouteTable],
         version_field: str,
+        infrastructure: Infrastructure | None = None,
     ) -> None:
         self.settings = settings
         self.parse_table = parse_table
@@ -108,6 +112,18 @@
             self.may_send_orders,
             lambda: self.replica.node.term,
         )
+        self.duty_tasks = TaskGroup()
+        self.duties: DutyHolder | None = None
+        if infrastructure is not None and settings.reports_usage:
+            self.duties = DutyHolder(
+                settings,
+                self.state,
+                infrastructure,
+                self.commit,
+                self.may_send_orders,
+                lambda: self.replica.node.term,
+                self.duty_tasks,
+            )
         self.leader_client = ControlClient(settings.contact_addresses(), FLEET)
         self.table_version = 0
         self.last_heartbeats: dict[str, LastHeartbeat] = {}
@@ -128,7 +144,12 @@
         service = ControlService(self.on_call, self.replica.receive_batch, FLEET)
         server = make_server(service)
         await server.start(self.settings.ip, self.settings.internal_port)
-        async with TaskGroup() as tasks, self.runner.tasks, self.load_scheduler.tasks:
+        async with (
+            TaskGroup() as tasks,
+            self.runner.tasks,
+            self.load_scheduler.tasks,
+            self.duty_tasks,
+        ):
             work = (self.replica.run(), self.run_leader_tasks(), self.save_progress())
             needed = [tasks.start(part) for part in work]
             events.emit(events.STARTED, listen=self.settings.internal_address)
@@ -169,6 +190,8 @@
             if event is not None:
                 event.set()
         self.state.jobs.news.clear()
+        if self.duties:
+            self.duties.on_applied(self.leading_term == self.replica.node.term)
         self.tasks_due.set()
 
     def load_table(self) -> None:
@@ -183,6 +206,8 @@
             events.emit(events.TASK_FAILED, error=error.format_message())
             return
         self.runner.table = self.load_scheduler.table = table
+        if self.duties:
+            self.duties.on_table(table)
         events.emit(events.CONFIG_IN_FORCE, revision=table.version, routes=len(table.routes))
 
     # Calls
@@ -214,6 +239,8 @@
                 return await self.on_end_job(request)
             case calls.Retire():
                 return await self.on_retire(request.name)
+            case calls.ReportUsage():
+                return await self.duties.on_report(request) if self.duties else calls.NotFound()
             case _:
                 return await self.on_read(request)
 
@@ -441,7 +468,10 @@
     def may_send_orders(self) -> bool:
         """Return whether this replica leads and the lease of a former leader has expired."""
         lease_over = clock.now() >= self.leading_since + self.settings.lease_ms / 1000
-        return lease_over and self.replica.leads and not self.stopping
+        leads = self.replica.leads and not self.stopping
+        # A replica that has lost leadership and won it again in a new term still has the start of
+        # the former term until its next round of leader tasks.
+        return leads and lease_over and self.leading_term == self.replica.node.term
 
     async def run_leader_tasks(self) -> None:
         """Run the leader's tasks on each change of the state and at least once per period."""
@@ -485,6 +515,8 @@
         self.leading_since = float("inf")
         self.runner.stop()
         self.load_scheduler.stop()
+        if self.duties:
+            self.duties.stop()
 
     def run_due_tasks(self, now: float) -> None:
         """Run the leader tasks that are due, once the entries of former terms are applied."""
@@ -495,6 +527,8 @@
         self.purge_jobs(now)
         self.runner.tick(now)
         self.load_scheduler.tick(now)
+        if self.duties:
+            self.duties.tick(now)
         if self.settings.name in self.state.retiring:
             self.replica.post_transfer()
 
--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -12,8 +12,10 @@
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.link import ATTEMPT_TIMEOUT_S
 from apricotvale.daemons.runtime import TaskGroup, wait_event, wait_until_stopped
+from apricotvale.daemons.usage_reporter import UsageReporter
 from apricotvale.outcomes import Reason, Refusal, not_run
 from apricotvale.requests.calls import Answer, Call, UpstreamClient
+from apricotvale.requests.forwarding import ForwardedRequest
 from apricotvale.routes import Limits, Route, RouteTable
 from apricotvale.settings.fleet import FleetSettings
 
@@ -45,6 +47,7 @@
         self.settings = settings
         self.link = FleetLink(settings.contact_addresses(), parse_table)
         self.forwarder = Forwarder(settings.site, self.link.view, client)
+        self.usage = UsageReporter(settings, self.link) if settings.reports_usage else None
         self.stopping = False
         self.active = 0
         self.idle = asyncio.Event()
@@ -100,11 +103,14 @@
 
         :param arrived: `clock.now()` at the arrival of the request, in seconds.
         """
+        request = ForwardedRequest(route, call.deadline)
         try:
-            result = await self.forwarder.forward(route, call)
+            result = await self.forwarder.forward(route, call, request)
         except asyncio.CancelledError:
             events.emit(events.CANCELLED, request=call.request_id, why="caller disconnected")
             raise
+        finally:
+            self.count_usage(call, request)
         took_s = clock.now() - arrived
         outcome = result.reason if isinstance(result, Refusal) else str(result.status)
         metrics.REQUESTS_TOTAL.labels(outcome).inc()
@@ -119,6 +125,11 @@
         )
         return result
 
+    def count_usage(self, call: Call, request: ForwardedRequest) -> None:
+        """Count a request for its customer, unless every upstream refused it without execution."""
+        if self.usage and call.customer and request.ran_at is not None:
+            self.usage.count(call.customer, call.request_id, request.ran_at)
+
     async def call_control(self, request: Any, request_id: str, wait_s: float = 0.0) -> Any:
         """Call the control leader and return its reply, or a refusal.
 
@@ -138,16 +149,26 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Follow control until `stop` is set, then serve until the balancer removes the entry."""
         async with TaskGroup() as tasks:
-            await wait_until_stopped(stop, tasks.start(self.link.run()))
+            needed = [tasks.start(self.link.run())]
+            if self.usage:
+                needed.append(tasks.start(self.usage.run()))
+            await wait_until_stopped(stop, *needed)
             self.stopping = True
             await asyncio.sleep(BALANCER_REMOVAL_S)
 
     async def finish_requests(self) -> None:
-        """Wait until no request is in flight, within the rest of `settings.stop_s`."""
+        """Wait until no request is in flight, within the rest of `settings.stop_s`.
+
+        The last counts of usage are sent then.
+        """
         remaining_s = self.settings.stop_s - BALANCER_REMOVAL_S - STOP_MARGIN_S
         if not await wait_event(self.idle, remaining_s):
             events.emit(events.CANCELLED, why="stop time exceeded", active=self.active)
+        if self.usage:
+            await self.usage.send_last()
 
     def close(self) -> None:
         """Close the connections to control."""
+        if self.usage:
+            self.usage.close()
         self.link.close()
--- /dev/null
+++ b/src/apricotvale/daemons/usage_reporter.py
@@ -0,0 +1,122 @@
+"""Counts the requests of an entry by customer and reports the counts to the control leader."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+
+from apricotvale import clock, events
+from apricotvale.daemons.fleet_link import FLEET, FleetLink
+from apricotvale.daemons.link import ControlClient
+from apricotvale.duties.true_time import ClockComparison, TrueTime
+from apricotvale.duties.usage import UsageCounter
+from apricotvale.fleet import calls
+from apricotvale.settings.fleet import FleetSettings
+
+REPORT_INTERVAL_S = 0.5
+# An entry without new counts reports its estimate of true time this often, so that a new leader
+# hears several entries before it closes a window.
+KEEPALIVE_S = 2.0
+CALL_TIMEOUT_S = 2.0
+# The leader collects reports for 0.25 s and commits them, which takes tens of milliseconds.
+ATTEMPT_TIMEOUT_S = 1.0
+# Shorter than the part of the stop time that remains when the last request has been answered.
+LAST_CALL_TIMEOUT_S = 0.6
+
+
+def wall_clock_time() -> TrueTime:
+    """Return an estimate of true time from the wall clock, which is read only once."""
+    return TrueTime(time.time() - clock.now())
+
+
+class UsageReporter:
+    """The counts of an entry and their reports.
+
+    :param link: the entry's link to control.
+    """
+
+    def __init__(self, settings: FleetSettings, link: FleetLink) -> None:
+        self.link = link
+        # A new process starts with empty counts. Under the name of the former one they would be
+        # taken for outdated counts of that process.
+        self.reporter = f"{settings.name}/{uuid.uuid4().hex[:12]}"
+        self.counter = UsageCounter(settings.usage_window_s)
+        self.time = wall_clock_time()
+        self.comparison = ClockComparison()
+        self.client = ControlClient(settings.contact_addresses(), FLEET)
+        self.sent_at = float("-inf")
+        # Whether a leader has not heard this entry's estimate of true time yet.
+        self.is_unheard = True
+        self.lock = asyncio.Lock()
+
+    def count(self, customer: str, request_id: str, sent_at: float) -> None:
+        """Count a request that ran or may have run.
+
+        :param sent_at: when the attempt that ran was sent, on `clock.now`.
+        """
+        is_new = self.counter.add(customer, request_id, sent_at, self.time)
+        events.emit(
+            events.REQUEST_COUNTED, request=request_id, customer=customer, first_time=is_new
+        )
+
+    def is_due(self, now: float) -> bool:
+        """Return whether there is something to report."""
+        if getattr(self.link.table, "customers", None) is None and not self.counter.windows:
+            return False
+        has_news = bool(self.counter.unconfirmed or self.counter.pending)
+        is_urgent = has_news or self.is_unheard or not self.time.is_synced
+        return is_urgent or now >= self.sent_at + KEEPALIVE_S
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            if self.is_due(clock.now()):
+                await self.send(CALL_TIMEOUT_S)
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    async def send(self, timeout_s: float) -> bool:
+        """Send one report; return whether its counts are committed."""
+        async with self.lock:
+            report = self.counter.report(self.reporter)
+            sent_at = self.sent_at = clock.now()
+            request = calls.ReportUsage(
+                report,
+                self.comparison.leader,
+                self.time.offset_s + self.comparison.ahead_s,
+                self.time.is_synced,
+            )
+            self.client.addresses = list(self.link.call_client.addresses)
+            deadline = self.client.now() + timeout_s
+            reply = await self.client.call(request, deadline, min(timeout_s, ATTEMPT_TIMEOUT_S))
+            if not isinstance(reply, calls.UsageAck):
+                return False
+            self.counter.confirm(report)
+            self.is_unheard = reply.leader != request.leader
+            self.adopt_time(reply, sent_at)
+            self.counter.forget_before(reply.closed_before)
+            return True
+
+    def adopt_time(self, ack: calls.UsageAck, sent_at: float) -> None:
+        """Adopt the leader's estimate of true time from its reply."""
+        is_known = self.comparison.measure(
+            ack.leader, ack.clock_s, ack.held_s, sent_at, clock.now()
+        )
+        if ack.offset_s is None or not is_known:
+            return
+        former_s = self.time.offset_s
+        if self.time.adopt(ack.offset_s - self.comparison.ahead_s):
+            changed_ms = round((self.time.offset_s - former_s) * 1000)
+            events.emit(events.TRUE_TIME_CORRECTED, by_ms=changed_ms, leader=ack.leader)
+        self.counter.assign_pending(self.time)
+
+    async def send_last(self) -> None:
+        """Send the counts that are not confirmed yet, once, before the process ends."""
+        if self.counter.pending:
+            self.counter.assign_pending(self.time)
+        if self.counter.unconfirmed:
+            await self.send(LAST_CALL_TIMEOUT_S)
+
+    def close(self) -> None:
+        """Close the connections to control."""
+        self.client.close()
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -72,6 +72,31 @@
 )
 TOKEN_TOMBSTONED = event(303, "token-tombstoned", "INFO", "A token not seen before was tombstoned.")
 
+USAGE_BEGUN = event(330, "usage-begun", "INFO", "The first window of usage to report was set.")
+USAGE_CLOSED = event(331, "usage-closed", "INFO", "A window of usage is closed, with its sum.")
+USAGE_REPORTED = event(
+    332, "usage-reported", "INFO", "The infrastructure accepted a window of usage."
+)
+USAGE_FAILED = event(
+    333, "usage-failed", "WARNING", "A call to report usage failed and is made again later."
+)
+USAGE_LATE = event(
+    334, "usage-late", "WARNING", "Requests were counted too late and are not reported."
+)
+USAGE_FENCED_OFF = event(
+    335,
+    "usage-fenced-off",
+    "WARNING",
+    "The infrastructure knows a newer holder; this leader reports no usage in its term.",
+)
+USAGE_GIVEN_UP = event(
+    336, "usage-given-up", "ERROR", "A window of usage was not accepted in time."
+)
+TRUE_TIME_CORRECTED = event(
+    337, "true-time-corrected", "INFO", "A process adopted the agreed true time."
+)
+REQUEST_COUNTED = event(338, "request-counted", "DEBUG", "A request was counted for its customer.")
+
 SAMPLE_PLACED = event(
     400, "sample-placed", "INFO", "A sample was sent to an engine, with the reason."
 )
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -31,6 +31,15 @@
 JOB_BYTES = Gauge(
     "apricotvale_job_bytes", "Bytes of jobs and results held, as of the last new job."
 )
+USAGE_WINDOWS = Counter(
+    "apricotvale_usage_windows", "Windows of usage reported or given up.", ["outcome"]
+)
+USAGE_LATE = Counter(
+    "apricotvale_usage_late", "Requests not reported: counted after their window was closed."
+)
+USAGE_CALLS_FAILED = Counter(
+    "apricotvale_usage_calls_failed", "Failed calls to report usage.", ["outcome"]
+)
 LOG_LINES_DROPPED = Counter("apricotvale_log_lines_dropped", "Log lines over the bound.")
 METRICS_PATH = "/metrics"
 
--- a/src/apricotvale/platform/names.py
+++ b/src/apricotvale/platform/names.py
@@ -47,3 +47,10 @@
 ITEM_PATH = "/api/items/{id}"
 REPORT_PATH = "/api/report"
 ORDER_PATH = "/api/order"
+
+# Calls to the infrastructure.
+LEASE_HOLDER = "Lease-Holder"
+FENCING_TOKEN = "Fencing-Token"
+USAGE_PATH = "/usage"
+WINDOW_ID_FIELD = "window_id"
+COUNTS_FIELD = "counts"
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -17,6 +17,7 @@
 from apricotvale.log_writer import configure_bounded
 from apricotvale.platform import names, wire
 from apricotvale.platform.client import PlatformClient
+from apricotvale.platform.infrastructure import InfrastructureClient
 from apricotvale.platform.interface import ControlInterface
 from apricotvale.platform.requests import RequestInterface
 from apricotvale.settings.fleet import FleetSettings, load_fleet
@@ -50,7 +51,11 @@
     """Run control: serve operators, trainers, upstreams and entries until `stop` is set."""
     async with AsyncExitStack() as stack:
         client = await stack.enter_async_context(PlatformClient())
-        control = FleetControl(settings, client, wire.parse_table, names.EVENT_VERSION_FIELD)
+        address = settings.infrastructure
+        infrastructure = InfrastructureClient(address) if address else None
+        control = FleetControl(
+            settings, client, wire.parse_table, names.EVENT_VERSION_FIELD, infrastructure
+        )
         server = HttpServer(ControlInterface(control).make_app(), settings.interface)
         await stack.enter_async_context(server)
         install_reload_handler(lambda: reload(control.apply_settings))
--- a/src/apricotvale/settings/fleet.py
+++ b/src/apricotvale/settings/fleet.py
@@ -11,6 +11,8 @@
 from apricotvale.settings.loader import Checker, Problem
 from apricotvale.settings.schema import option
 
+METERING_DUTY = "metering"
+
 
 @frozen(kw_only=True)
 class FleetSettings:
@@ -45,6 +47,18 @@
         64,
         least=1,
     )
+    infrastructure: str = option(
+        "address of the infrastructure for calls that one process makes, host:port; empty disables "
+        "them",
+        "",
+    )
+    infrastructure_duties: list[str] = option(
+        "calls that the infrastructure asks for; `metering` asks for usage reports", list
+    )
+    usage_window_s: float = option("length of a window of usage reports", 5.0, least=0.1)
+    usage_late_s: float = option(
+        "time from the end of a window until its usage report is due", 10.0, least=0.2
+    )
     stop_s: float = option("time limit of a graceful shutdown", 8.0, least=0)
     log_level: str = option("DEBUG, INFO, WARNING or ERROR", "INFO")
 
@@ -53,6 +67,11 @@
         """Return the address at which other processes reach this one, as host:port."""
         return f"{self.ip}:{self.internal_port}"
 
+    @property
+    def reports_usage(self) -> bool:
+        """Return whether the deployment reports its usage to the infrastructure."""
+        return bool(self.infrastructure) and METERING_DUTY in self.infrastructure_duties
+
     def contact_addresses(self) -> list[str]:
         """Return the internal addresses of the replicas in `contacts`.
 
