Protect true time against slow calls and a new leader's wrong clock

A call that is sent to several replicas in turn after the loss of a leader has a long round trip. Only processes without true time use such a reply now. A new leader whose wall clock was wrong by 4 s took it for the agreed time, as no entry had reported to it yet; once usage is reported, it waits for one that knows true time.

--- a/src/apricotvale/daemons/duty_holder.py
+++ b/src/apricotvale/daemons/duty_holder.py
@@ -27,6 +27,9 @@
 # Reports that arrive within this time are committed together: 20 entries report twice a second.
 COLLECT_S = 0.25
 COMMIT_RETRY_S = 0.05
+# Longer than an entry without new counts needs to report its clock to a new leader: up to 2 s until
+# its next report and 0.5 s until the one after it. After the loss of all processes nobody does.
+SYNCED_CLOCK_WAIT_S = 5.0
 
 
 class DutyHolder:
@@ -58,6 +61,7 @@
         self.times = UsageTimes(settings.usage_window_s, settings.usage_late_s)
         self.clocks = ClockMedian(wall_clock_time())
         self.first_seen_at: float | None = None
+        self.acting_since: float | None = None
         self.plan = ReportPlan()
         self.waiting: list[UsageReport] = []
         self.collecting: asyncio.Task[Any] | None = None
@@ -95,7 +99,7 @@
             leadership,
             now,
             now - received_at,
-            self.clocks.estimate(now) if self.may_act() else None,
+            self.clocks.estimate(now) if self.may_act() and self.knows_time(now) else None,
         )
 
     async def record(self, report: UsageReport) -> Any:
@@ -136,6 +140,10 @@
         """
         if not self.may_act():
             return
+        if self.acting_since is None:
+            self.acting_since = now
+        if not self.knows_time(now):
+            return
         if self.clocks.own.adopt(self.clocks.estimate(now)):
             events.emit(events.TRUE_TIME_CORRECTED, leader=self.leadership)
         if self.changing is None or self.changing.done():
@@ -147,6 +155,19 @@
             if window is not None:
                 self.calling = self.tasks.start(self.report(window))
 
+    def knows_time(self, now: float) -> bool:
+        """Return whether true time is agreed on, or nobody can be expected to know it.
+
+        Once usage is reported, the entries know true time; a new leader whose own wall clock may be
+        wrong then waits for the first of them.
+        """
+        if self.clocks.is_synced(now):
+            return True
+        if self.acting_since is None:
+            return False
+        wait_s = SYNCED_CLOCK_WAIT_S if self.state.usage.state.next_window else 0.0
+        return now >= self.acting_since + wait_s
+
     def next_change(self, true_time: float) -> c.Command | None:
         """Return the command that begins, closes or gives up a window, if one is due."""
         window = self.state.usage.state.next_window
@@ -216,4 +237,5 @@
         if self.calling is not None:
             self.calling.cancel()
         self.plan = ReportPlan()
+        self.acting_since = None
         self.clocks.heard.clear()
--- a/src/apricotvale/daemons/usage_reporter.py
+++ b/src/apricotvale/daemons/usage_reporter.py
@@ -69,7 +69,8 @@
         return is_urgent or now >= self.sent_at + KEEPALIVE_S
 
     async def run(self) -> None:
-        """Report until cancelled."""
+        """Report until cancelled, from the first route table on."""
+        await self.link.has_table.wait()
         while True:
             if self.is_due(clock.now()):
                 await self.send(CALL_TIMEOUT_S)
@@ -100,7 +101,7 @@
     def adopt_time(self, ack: calls.UsageAck, sent_at: float) -> None:
         """Adopt the leader's estimate of true time from its reply."""
         is_known = self.comparison.measure(
-            ack.leader, ack.clock_s, ack.held_s, sent_at, clock.now()
+            ack.leader, ack.clock_s, ack.held_s, sent_at, clock.now(), self.time.is_synced
         )
         if ack.offset_s is None or not is_known:
             return
--- a/src/apricotvale/duties/true_time.py
+++ b/src/apricotvale/duties/true_time.py
@@ -15,7 +15,8 @@
 CLOCK_AGE_S = 5.0
 # A comparison of two clocks is wrong by up to half of its round trip.
 MAX_ROUND_TRIP_S = 0.1
-# Without an earlier comparison a bad one is better than none.
+# While a process knows no true time at all, the limit doubles with each failed comparison up to
+# this, since its requests cannot be counted in windows until then.
 MAX_FIRST_ROUND_TRIP_S = 1.0
 
 
@@ -49,23 +50,34 @@
 
     :param leader: the leadership for which the difference is known, empty for none.
     :param ahead_s: own boot-time clock less that of the leader, in seconds.
+    :param limit_s: longest round trip that is accepted while true time is not known, in seconds.
     """
 
     leader: str = ""
     ahead_s: float = 0.0
+    limit_s: float = MAX_ROUND_TRIP_S
 
     def measure(
-        self, leader: str, clock_s: float, held_s: float, sent_at: float, received_at: float
+        self,
+        leader: str,
+        clock_s: float,
+        held_s: float,
+        sent_at: float,
+        received_at: float,
+        is_synced: bool = True,
     ) -> bool:
         """Use one reply of the leader; return whether the difference to its clock is known.
 
+        A call that was sent to several replicas in turn, as after the loss of a leader, has a long
+        round trip; using it would move a synced process by up to half of that.
+
         :param clock_s: the leader's boot-time clock when it replied, in seconds.
         :param held_s: time between the leader's receipt of the call and its reply, in seconds.
         """
         round_trip_s = received_at - sent_at - held_s
-        is_known = leader == self.leader
-        if round_trip_s > (MAX_ROUND_TRIP_S if is_known else MAX_FIRST_ROUND_TRIP_S):
-            return is_known
+        if round_trip_s > (MAX_ROUND_TRIP_S if is_synced else self.limit_s):
+            self.limit_s = min(MAX_FIRST_ROUND_TRIP_S, self.limit_s * 2)
+            return leader == self.leader
         self.leader = leader
         self.ahead_s = received_at - clock_s - max(0.0, round_trip_s) / 2
         return True
@@ -91,6 +103,13 @@
         """Record the offset that a process has stated."""
         self.heard[process] = HeardClock(offset_s, is_synced, now)
 
+    def is_synced(self, now: float) -> bool:
+        """Return whether the own offset, or that of a process heard recently, is agreed on."""
+        heard = self.heard.values()
+        return self.own.is_synced or any(
+            clock.is_synced and clock.heard_at > now - CLOCK_AGE_S for clock in heard
+        )
+
     def estimate(self, now: float) -> float:
         """Return the median offset.
 
