--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -15,6 +15,7 @@
 from apricotvale.daemons.runtime import HttpServer
 from apricotvale.platform import names, wire
 from apricotvale.platform.client import PlatformClient
+from apricotvale.platform.infrastructure import InfrastructureClient
 from apricotvale.platform.interface import ControlInterface
 from apricotvale.platform.requests import RequestInterface
 from apricotvale.settings.fleet import FleetSettings
@@ -85,9 +86,12 @@
     """A running deployment, with methods for the HTTP calls that the platform makes.
 
     The parameter `at` of these methods is the number of the control replica to call.
+
+    :param usage: settings of usage reports, the same for all processes.
     """
 
     folder: object
+    usage: dict = field(factory=dict)
     stack: AsyncExitStack = field(factory=AsyncExitStack)
     controls: list = field(factory=list)
     interfaces: list = field(factory=list)
@@ -133,9 +137,13 @@
             data_folder=str(self.folder / name),
             lease_ms=300,
             heartbeat_ms=round(HEARTBEAT_S * 1000),
+            **self.usage,
         )
         client = await self.stack.enter_async_context(PlatformClient())
-        control = FleetControl(settings, client, wire.parse_table, names.EVENT_VERSION_FIELD)
+        infrastructure = InfrastructureClient(settings.infrastructure) if self.usage else None
+        control = FleetControl(
+            settings, client, wire.parse_table, names.EVENT_VERSION_FIELD, infrastructure
+        )
         app = ControlInterface(control).make_app()
         await self.stack.enter_async_context(HttpServer(app, settings.interface))
         self.controls.append(control)
@@ -146,7 +154,12 @@
         address = free_address()
         ready = free_address()
         settings = FleetSettings(
-            name="edge-1", site="a", ip="127.0.0.1", contacts=contacts, internal_port=port
+            name="edge-1",
+            site="a",
+            ip="127.0.0.1",
+            contacts=contacts,
+            internal_port=port,
+            **self.usage,
         )
         client = await self.stack.enter_async_context(PlatformClient())
         self.entry = FleetEntry(settings, client, wire.parse_table)
