Count a long request before its window is closed

A request is counted at its end, since only then it is known whether it ran. One that takes longer than its window stays open was counted too late, and one that was cancelled when its entry stopped was lost. Both are counted while in flight now. Request ids are told apart by customer.

--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, nullcontext
 from typing import Any
 
 from apricotvale import clock, events, metrics
@@ -104,13 +104,13 @@
         :param arrived: `clock.now()` at the arrival of the request, in seconds.
         """
         request = ForwardedRequest(route, call.deadline)
+        counting = self.usage.counting(call, request) if self.usage else nullcontext()
         try:
-            result = await self.forwarder.forward(route, call, request)
+            with counting:
+                result = await self.forwarder.forward(route, call, request)
         except asyncio.CancelledError:
             events.emit(events.CANCELLED, request=call.request_id, why="caller disconnected")
             raise
-        finally:
-            self.count_usage(call, request)
         took_s = clock.now() - arrived
         outcome = result.reason if isinstance(result, Refusal) else str(result.status)
         metrics.REQUESTS_TOTAL.labels(outcome).inc()
@@ -125,11 +125,6 @@
         )
         return result
 
-    def count_usage(self, call: Call, request: ForwardedRequest) -> None:
-        """Count a request for its customer, unless every upstream refused it without execution."""
-        if self.usage and call.customer and request.ran_at is not None:
-            self.usage.count(call.customer, call.request_id, request.ran_at)
-
     async def call_control(self, request: Any, request_id: str, wait_s: float = 0.0) -> Any:
         """Call the control leader and return its reply, or a refusal.
 
--- a/src/apricotvale/daemons/usage_reporter.py
+++ b/src/apricotvale/daemons/usage_reporter.py
@@ -5,6 +5,10 @@
 import asyncio
 import time
 import uuid
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from attrs import define
 
 from apricotvale import clock, events
 from apricotvale.daemons.fleet_link import FLEET, FleetLink
@@ -12,6 +16,8 @@
 from apricotvale.duties.true_time import ClockComparison, TrueTime
 from apricotvale.duties.usage import UsageCounter
 from apricotvale.fleet import calls
+from apricotvale.requests.calls import Call
+from apricotvale.requests.forwarding import ForwardedRequest
 from apricotvale.settings.fleet import FleetSettings
 
 REPORT_INTERVAL_S = 0.5
@@ -23,6 +29,18 @@
 ATTEMPT_TIMEOUT_S = 1.0
 # Shorter than the part of the stop time that remains when the last request has been answered.
 LAST_CALL_TIMEOUT_S = 0.6
+# A request in flight is counted after this share of the time until its window may be closed. The
+# rest suffices to report it: the interval of reports, and the time to collect and commit them.
+IN_FLIGHT_SHARE = 0.8
+
+
+@define(eq=False)
+class CountedRequest:
+    """A request that is counted once an attempt has run or may have run."""
+
+    call: Call
+    request: ForwardedRequest
+    is_counted: bool = False
 
 
 def wall_clock_time() -> TrueTime:
@@ -42,6 +60,8 @@
         # taken for outdated counts of that process.
         self.reporter = f"{settings.name}/{uuid.uuid4().hex[:12]}"
         self.counter = UsageCounter(settings.usage_window_s)
+        self.in_flight: set[CountedRequest] = set()
+        self.in_flight_s = IN_FLIGHT_SHARE * settings.usage_late_s / 2
         self.time = wall_clock_time()
         self.comparison = ClockComparison()
         self.client = ControlClient(settings.contact_addresses(), FLEET)
@@ -50,16 +70,44 @@
         self.is_unheard = True
         self.lock = asyncio.Lock()
 
-    def count(self, customer: str, request_id: str, sent_at: float) -> None:
-        """Count a request that ran or may have run.
-
-        :param sent_at: when the attempt that ran was sent, on `clock.now`.
-        """
-        is_new = self.counter.add(customer, request_id, sent_at, self.time)
+    @contextmanager
+    def counting(self, call: Call, request: ForwardedRequest) -> Iterator[None]:
+        """Count a request of a customer at the end of the context, however it ends."""
+        if not call.customer:
+            yield
+            return
+        counted = CountedRequest(call, request)
+        self.in_flight.add(counted)
+        try:
+            yield
+        finally:
+            self.in_flight.discard(counted)
+            self.count(counted)
+
+    def count(self, counted: CountedRequest) -> None:
+        """Count a request once, unless every upstream refused it without execution."""
+        call, ran_at = counted.call, counted.request.ran_at
+        if counted.is_counted or ran_at is None or not call.customer:
+            return
+        counted.is_counted = True
+        is_new = self.counter.add(call.customer, call.request_id, ran_at, self.time)
         events.emit(
-            events.REQUEST_COUNTED, request=request_id, customer=customer, first_time=is_new
+            events.REQUEST_COUNTED,
+            request=call.request_id,
+            customer=call.customer,
+            first_time=is_new,
         )
 
+    def count_in_flight(self, sent_before: float) -> None:
+        """Count the requests in flight whose attempt was sent before a time.
+
+        Load pattern: requests take longer than their window stays open. Counted at their end they
+        would come too late.
+        """
+        for counted in list(self.in_flight):
+            if (counted.request.ran_at or sent_before) < sent_before:
+                self.count(counted)
+
     def is_due(self, now: float) -> bool:
         """Return whether there is something to report."""
         if getattr(self.link.table, "customers", None) is None and not self.counter.windows:
@@ -72,6 +120,7 @@
         """Report until cancelled, from the first route table on."""
         await self.link.has_table.wait()
         while True:
+            self.count_in_flight(clock.now() - self.in_flight_s)
             if self.is_due(clock.now()):
                 await self.send(CALL_TIMEOUT_S)
             await asyncio.sleep(REPORT_INTERVAL_S)
@@ -112,7 +161,11 @@
         self.counter.assign_pending(self.time)
 
     async def send_last(self) -> None:
-        """Send the counts that are not confirmed yet, once, before the process ends."""
+        """Send the counts that are not confirmed yet, once, before the process ends.
+
+        Requests still in flight are cancelled then; they are counted, as they may have run.
+        """
+        self.count_in_flight(clock.now())
         if self.counter.pending:
             self.counter.assign_pending(self.time)
         if self.counter.unconfirmed:
--- a/src/apricotvale/duties/usage.py
+++ b/src/apricotvale/duties/usage.py
@@ -54,14 +54,15 @@
     :param pending: time on the boot-time clock and customer of requests that were counted before
         the entry knew true time.
     :param unconfirmed: windows whose counts have changed since the last confirmed report.
-    :param request_ids: recently counted requests; a request sent again by its caller counts once.
+    :param request_ids: customers and ids of requests counted recently; a request sent again by its
+        caller counts once.
     """
 
     window_s: float
     windows: dict[int, dict[str, int]] = field(factory=dict)
     pending: list[tuple[float, str]] = field(factory=list)
     unconfirmed: set[int] = field(factory=set)
-    request_ids: OrderedDict[str, None] = field(factory=OrderedDict)
+    request_ids: OrderedDict[tuple[str, str], None] = field(factory=OrderedDict)
 
     def add(self, customer: str, request_id: str, sent_at: float, time: TrueTime) -> bool:
         """Count a request; return False if its id was counted before.
@@ -69,9 +70,10 @@
         :param sent_at: when the attempt that ran was sent, on the boot-time clock.
         """
         if request_id:
-            if request_id in self.request_ids:
+            key = (customer, request_id)
+            if key in self.request_ids:
                 return False
-            self.request_ids[request_id] = None
+            self.request_ids[key] = None
             if len(self.request_ids) > MAX_REQUEST_IDS:
                 self.request_ids.popitem(last=False)
         if not time.is_synced and len(self.pending) < MAX_PENDING:
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -114,6 +114,10 @@
     assert counter.windows == {200: {"ada": 1}}
 
 
+def test_two_customers_may_use_the_same_request_id(counter):
+    assert counter.add("ada", "r-1", 0.0, SYNCED) and counter.add("bo", "r-1", 0.0, SYNCED)
+
+
 def test_requests_without_an_id_are_all_counted(counter):
     for _ in range(3):
         counter.add("ada", "", 0.0, SYNCED)
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -273,6 +273,36 @@
     await usage_site.wait_until_reported()
 
 
+async def test_a_long_request_is_counted_before_its_window_is_closed(usage_site):
+    """Guards against late counts of requests that take longer than their window stays open."""
+    for desk in usage_site.site.desks:
+        desk.behaviour = "silent"
+    task = asyncio.create_task(
+        usage_site.site.request("/fees/1", "u-long", X_Api_Key="key-bo", Deadline_Ms="1500")
+    )
+    counter = usage_site.site.entry.usage.counter
+    await usage_site.wait_for(lambda: ("bo", "u-long") in counter.request_ids)
+    assert not task.done()
+    assert (await task)[0] == 504
+    usage_site.sent["bo"] += 1
+    await usage_site.wait_for(lambda: not counter.unconfirmed)
+    assert sum(counts.get("bo", 0) for counts in counter.windows.values()) == 1
+
+
+async def test_requests_in_flight_are_counted_when_the_entry_stops(usage_site):
+    """Guards against the loss of requests that are cancelled at the end of the stop time."""
+    entry = usage_site.site.entry
+    for desk in usage_site.site.desks:
+        desk.behaviour = "silent"
+    task = asyncio.create_task(usage_site.site.request("/fees/1", "u-cut", X_Api_Key="key-bo"))
+    await asyncio.sleep(0.1)
+    await entry.usage.send_last()
+    assert not task.done() and not entry.usage.counter.unconfirmed
+    await task
+    usage_site.sent["bo"] += 1
+    await usage_site.wait_until_reported()
+
+
 @pytest.mark.parametrize("behaviour", ["slow", "garbage", "busy", "failing"])
 async def test_windows_are_reported_again_until_they_are_accepted(usage_site, behaviour):
     """Guards against windows lost, or changed, while the infrastructure has a fault."""
