--- a/src/apricotvale/daemons/duty_holder.py
+++ b/src/apricotvale/daemons/duty_holder.py
@@ -31,6 +31,8 @@
 # its next report and 0.5 s until the one after it. After the loss of all processes nobody does.
 SYNCED_CLOCK_WAIT_S = 5.0
 
+WindowCommand = c.BeginUsage | c.CloseUsage | c.ConfirmUsage
+
 
 class DutyHolder:
     """The usage of all entries, and the calls to the infrastructure while this replica leads.
@@ -168,7 +170,7 @@
         wait_s = SYNCED_CLOCK_WAIT_S if self.state.usage.state.next_window else 0.0
         return now >= self.acting_since + wait_s
 
-    def next_change(self, true_time: float) -> c.Command | None:
+    def next_change(self, true_time: float) -> WindowCommand | None:
         """Return the command that begins, closes or gives up a window, if one is due."""
         window = self.state.usage.state.next_window
         if not window:
@@ -182,8 +184,13 @@
                 return c.ConfirmUsage(closed.window)
         return None
 
-    async def change(self, command: c.Command) -> None:
-        """Commit a change of the windows and log it."""
+    async def change(self, command: WindowCommand) -> None:
+        """Commit a change of the windows and log it.
+
+        The log line of a window that is given up holds its counts, which are in no report.
+        """
+        closed = self.state.usage.find_closed(command.window)
+        given_up = dict(closed.counts) if closed and not closed.is_done else {}
         if not isinstance(await self.commit(command), calls.Accepted):
             return
         match command:
@@ -195,7 +202,7 @@
                 events.emit(events.USAGE_CLOSED, window=command.window, requests=requests)
             case c.ConfirmUsage():
                 metrics.USAGE_WINDOWS.labels("given_up").inc()
-                events.emit(events.USAGE_GIVEN_UP, window=command.window)
+                events.emit(events.USAGE_GIVEN_UP, window=command.window, counts=given_up)
 
     async def report(self, closed: ClosedWindow) -> None:
         """Report one window, and record it as done if it was accepted."""
--- a/tests/test_fleet_settings.py
+++ b/tests/test_fleet_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 
@@ -39,6 +40,24 @@
     assert settings.internal_address == "127.0.0.1:7720"
     assert settings.contact_addresses() == ["127.0.0.2:7720", "127.0.0.3:7720"]
     assert (settings.retention_s, settings.stop_s) == (120.0, 8.5)
+    assert not settings.reports_usage
+
+
+@pytest.mark.parametrize(
+    ("address", "duties", "expected"),
+    [("127.0.0.9:80", ["metering"], True), ("", ["metering"], False), ("127.0.0.9:80", [], False)],
+)
+def test_usage_is_reported_only_with_an_address_and_its_duty(
+    settings_file, address, duties, expected
+):
+    lines = [
+        f'infrastructure = "{address}"',
+        f"infrastructure_duties = {json.dumps(duties)}",
+        "usage_window_s = 5",
+        "usage_late_s = 10",
+    ]
+    settings_file.write_text("\n".join([VALID_SETTINGS, *lines]))
+    assert load_fleet(settings_file).reports_usage is expected
 
 
 @pytest.mark.parametrize(
