--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -10,6 +10,7 @@
 import attrs
 import pytest
 from attrs import define, field
+from prometheus_client import REGISTRY
 
 from apricotvale.daemons import fleet_entry, usage_reporter
 from apricotvale.daemons.fleet_entry import FleetEntry
@@ -512,8 +513,10 @@
     await usage_site.wait_until_reported()
     window = leader.state.usage.state.next_window - 1
     entry = usage_site.site.entry
+    before = REGISTRY.get_sample_value("apricotvale_usage_late_total")
     entry.usage.counter.add_to_window("ada", window)
     await usage_site.wait_for(lambda: not entry.usage.counter.unconfirmed)
+    assert REGISTRY.get_sample_value("apricotvale_usage_late_total") == before + 1
     await usage_site.wait_until_reported()
 
 
