--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, nullcontext
 from typing import Any
 
 from apricotvale import clock, events, metrics
@@ -13,8 +13,10 @@
 from apricotvale.daemons.leader_client import ATTEMPT_TIMEOUT_S
 from apricotvale.daemons.leaving import LeavingReporter
 from apricotvale.daemons.runtime import TaskGroup, wait_event, wait_until_stopped
+from apricotvale.daemons.usage_reporter import UsageReporter
 from apricotvale.outcomes import Reason, Refusal, not_run
 from apricotvale.requests.calls import Answer, Call, UpstreamClient
+from apricotvale.requests.forwarding import ForwardedRequest
 from apricotvale.requests.held_bytes import UPSTREAM_SHARE, ByteBudget, held_limit
 from apricotvale.routes import Limits, Route, RouteTable
 from apricotvale.settings.fleet import FleetSettings
@@ -51,6 +53,7 @@
         self.held = client.held = ByteBudget(held_limit(settings.memory_mb))
         self.forwarder.sent.limit = int(self.held.limit * UPSTREAM_SHARE)
         metrics.HELD_BYTES.set_function(lambda: self.held.held)
+        self.usage = UsageReporter(settings, self.link) if settings.reports_usage else None
         self.stopping = False
         self.active = 0
         self.idle = asyncio.Event()
@@ -101,8 +104,11 @@
 
         :param arrived: `clock.now()` at the arrival of the request, in seconds.
         """
+        request = ForwardedRequest(route, call.deadline)
+        counting = self.usage.counting(call, request) if self.usage else nullcontext()
         try:
-            result = await self.forwarder.forward(route, call)
+            with counting:
+                result = await self.forwarder.forward(route, call, request)
         except asyncio.CancelledError:
             events.emit(events.CANCELLED, request=call.request_id, why="caller disconnected")
             raise
@@ -140,16 +146,26 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Follow control until `stop` is set, then serve until the balancer removes the entry."""
         async with TaskGroup() as tasks, self.leaving.tasks:
-            await wait_until_stopped(stop, tasks.start(self.link.run()))
+            needed = [tasks.start(self.link.run())]
+            if self.usage:
+                needed.append(tasks.start(self.usage.run()))
+            await wait_until_stopped(stop, *needed)
             self.stopping = True
             await asyncio.sleep(BALANCER_REMOVAL_S)
 
     async def finish_requests(self) -> None:
-        """Wait until no request is in flight, within the rest of `settings.stop_s`."""
+        """Wait until no request is in flight, within the rest of `settings.stop_s`.
+
+        The last counts of usage are sent then.
+        """
         remaining_s = self.settings.stop_s - BALANCER_REMOVAL_S - STOP_MARGIN_S
         if not await wait_event(self.idle, remaining_s):
             events.emit(events.CANCELLED, why="stop time exceeded", active=self.active)
+        if self.usage:
+            await self.usage.send_last()
 
     def close(self) -> None:
         """Close the connections to control."""
+        if self.usage:
+            self.usage.close()
         self.link.close()
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -50,6 +50,15 @@
     "apricotvale_groups_postponed", "Groups that could not be complete in time."
 )
 ITEMS_WAITING = Gauge("apricotvale_items_waiting", "Waiting items by class of urgency.", ["class"])
+USAGE_WINDOWS = Counter(
+    "apricotvale_usage_windows", "Windows of usage reported or given up.", ["outcome"]
+)
+USAGE_LATE = Counter(
+    "apricotvale_usage_late", "Requests not reported: counted after their window was closed."
+)
+USAGE_CALLS_FAILED = Counter(
+    "apricotvale_usage_calls_failed", "Failed calls to report usage.", ["outcome"]
+)
 LOG_LINES_DROPPED = Counter("apricotvale_log_lines_dropped", "Log lines over the bound.")
 METRICS_PATH = "/metrics"
 
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -49,11 +49,16 @@
 async def run_control(settings: FleetSettings, stop: asyncio.Event) -> None:
     """Run control: serve operators, trainers, upstreams and entries until `stop` is set."""
     from apricotvale.daemons.fleet_control import FleetControl
+    from apricotvale.platform.infrastructure import InfrastructureClient
     from apricotvale.platform.interface import ControlInterface
 
     async with AsyncExitStack() as stack:
         client = await stack.enter_async_context(PlatformClient())
-        control = FleetControl(settings, client, wire.parse_table, names.EVENT_VERSION_FIELD)
+        address = settings.infrastructure
+        infrastructure = InfrastructureClient(address) if address else None
+        control = FleetControl(
+            settings, client, wire.parse_table, names.EVENT_VERSION_FIELD, infrastructure
+        )
         server = HttpServer(ControlInterface(control).make_app(), settings.interface)
         await stack.enter_async_context(server)
         install_reload_handler(lambda: reload(control.apply_settings))
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -15,6 +15,7 @@
 from apricotvale.daemons.runtime import HttpServer
 from apricotvale.platform import names, wire
 from apricotvale.platform.client import PlatformClient
+from apricotvale.platform.infrastructure import InfrastructureClient
 from apricotvale.platform.interface import ControlInterface
 from apricotvale.platform.requests import RequestInterface
 from apricotvale.settings.fleet import FleetSettings
@@ -86,9 +87,12 @@
 
     The parameter `at` of these methods is the number of the control replica to call. `memory_mb` is
     the memory that the settings of the entry state.
+
+    :param usage: settings of usage reports, the same for all processes.
     """
 
     folder: object
+    usage: dict = field(factory=dict)
     stack: AsyncExitStack = field(factory=AsyncExitStack)
     controls: list = field(factory=list)
     interfaces: list = field(factory=list)
@@ -135,9 +139,13 @@
             data_folder=str(self.folder / name),
             lease_ms=300,
             heartbeat_ms=round(HEARTBEAT_S * 1000),
+            **self.usage,
         )
         client = await self.stack.enter_async_context(PlatformClient())
-        control = FleetControl(settings, client, wire.parse_table, names.EVENT_VERSION_FIELD)
+        infrastructure = InfrastructureClient(settings.infrastructure) if self.usage else None
+        control = FleetControl(
+            settings, client, wire.parse_table, names.EVENT_VERSION_FIELD, infrastructure
+        )
         app = ControlInterface(control).make_app()
         await self.stack.enter_async_context(HttpServer(app, settings.interface))
         self.controls.append(control)
@@ -154,6 +162,7 @@
             contacts=contacts,
             internal_port=port,
             memory_mb=self.memory_mb,
+            **self.usage,
         )
         client = await self.stack.enter_async_context(PlatformClient())
         self.entry = FleetEntry(settings, client, wire.parse_table)
