--- /dev/null
+++ b/src/apricotvale/engines/__init__.py
@@ -0,0 +1,1 @@
+"""What the leader knows about model engines: speed, cached prompt parts and urgency of runs."""
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -101,10 +101,14 @@
 ITEM_CUT = event(413, "item-cut", "INFO", "A run of an item ended early or with an error status.")
 ITEM_LISTED = event(414, "item-listed", "INFO", "An item's result was added to the job's results.")
 REWARD_FAILED = event(415, "reward-failed", "INFO", "A reward call got no valid answer.")
-ITEM_MOVED = event(418, "item-moved", "INFO", "A run was moved to a much faster engine.")
+ITEM_MOVED = event(418, "item-moved", "INFO", "A run was moved to another engine.")
 RUNNER_STARTED = event(416, "runner-started", "INFO", "A new leader starts to run the open jobs.")
 RUNNER_STOPPED = event(417, "runner-stopped", "INFO", "A former leader stopped all its runs.")
 
+PROMPT_PARTS_IGNORED = event(
+    430, "prompt-parts-ignored", "WARNING", "Items of a job state malformed parts of their prompts."
+)
+
 ROLE_CHANGED = event(500, "role-changed", "INFO", "A control replica's role or term changed.")
 JOINING = event(501, "joining", "WARNING", "A replica with a new data folder asks to join.")
 GROUP_FORMED = event(502, "group-formed", "INFO", "The first group of replicas was formed.")
--- a/src/apricotvale/jobs/__init__.py
+++ b/src/apricotvale/jobs/__init__.py
@@ -1,7 +1,7 @@
 """Jobs: batches of requests that run asynchronously, with results at fixed positions."""
 
 from apricotvale.jobs.store import JobBookState, JobStore
-from apricotvale.jobs.types import Item, ItemState, Job, Progress, Result, RewardCall
+from apricotvale.jobs.types import Item, ItemState, Job, Progress, PromptPart, Result, RewardCall
 
 __all__ = [
     "Item",
@@ -10,6 +10,7 @@
     "JobBookState",
     "JobStore",
     "Progress",
+    "PromptPart",
     "Result",
     "RewardCall",
 ]
--- a/src/apricotvale/jobs/types.py
+++ b/src/apricotvale/jobs/types.py
@@ -24,6 +24,17 @@
     body: bytes
 
 
+@frozen
+class PromptPart:
+    """A part of a prompt that other items may share.
+
+    :param part_id: identifies the content of the part, in hexadecimal.
+    """
+
+    part_id: str
+    tokens: int
+
+
 @frozen
 class Item:
     """One request of a job.
@@ -32,6 +43,7 @@
     :param expected_tokens: the caller's estimate of the generated tokens, 0 without one.
     :param prompt_tokens: tokens of the prompt, 0 if unknown.
     :param group: items of one group share a prompt; the trainer uses a group as a whole.
+    :param prompt_parts: parts of the prompt in their order; the last one is the item's own.
     """
 
     item_id: str
@@ -43,6 +55,7 @@
     group: str = ""
     reward: RewardCall | None = None
     prompt_tokens: int = 0
+    prompt_parts: tuple[PromptPart, ...] = ()
 
 
 @frozen
--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -35,6 +35,7 @@
     412: OrderOutcome.FENCED_OFF,
 }
 MISDIRECTED_STATUS = 421
+PRIORITY_KEY = names.REQUEST_PRIORITY.lower()
 # Header fields that aiohttp would add to a request by itself.
 AUTOMATIC_FIELDS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -137,6 +138,10 @@
         }
         if request.resume_after is not None:
             headers[names.LAST_EVENT_ID] = str(request.resume_after)
+        if request.priority is not None:
+            for name in [name for name in headers if name.lower() == PRIORITY_KEY]:
+                del headers[name]
+            headers[names.REQUEST_PRIORITY] = str(request.priority)
         response = None
         result: PlatformRun | Answer | Refusal
         try:
--- a/src/apricotvale/platform/names.py
+++ b/src/apricotvale/platform/names.py
@@ -18,6 +18,10 @@
 LENGTH_HINT = "Length-Hint"
 # Two numbers: the tokens of the prompt, and the maximum of the output.
 TOKEN_USAGE = "Token-Usage"
+# The parts of an item's prompt in their order: `ID:TOKENS,ID:TOKENS`, with hexadecimal ids.
+PROMPT_PREFIX = "Prompt-Prefix"
+# Urgency of a run for the engine, from 0 (first) to 9.
+REQUEST_PRIORITY = "Request-Priority"
 
 # Header fields that are not forwarded: hop-by-hop fields of HTTP and those set anew for each hop.
 HOP_BY_HOP = frozenset(
--- a/src/apricotvale/platform/wire.py
+++ b/src/apricotvale/platform/wire.py
@@ -5,12 +5,14 @@
 import base64
 import binascii
 import json
+import re
 from typing import Any
 
+from apricotvale import events
 from apricotvale.discovery import Standing, Upstream
 from apricotvale.exceptions import BadInputError, bad_input
 from apricotvale.fleet import calls
-from apricotvale.jobs import Item, ItemState, Job, Result, RewardCall
+from apricotvale.jobs import Item, ItemState, Job, PromptPart, Result, RewardCall
 from apricotvale.platform import names
 from apricotvale.routes import (
     Backend,
@@ -32,6 +34,9 @@
 }
 STANDING_BY_NAME = {"ready": Standing.READY, "draining": Standing.DRAINING}
 ITEM_STATE_NAMES = {ItemState.COMPLETED: "completed", ItemState.FAILED: "errored"}
+PROMPT_PART = re.compile(r"([0-9A-Fa-f]{1,128}):([0-9]{1,9})")
+# Prompts have two or three parts; a longer list would slow down every choice of an engine.
+MAX_PROMPT_PARTS = 32
 LOAD_MODE_NAMES = {LoadMode.FINISH: "hold", LoadMode.CONTINUE: "retain"}
 
 
@@ -235,6 +240,17 @@
     items = tuple(parse_item(entry) for entry in typed_field(document, "items", list))
     if len({item.item_id for item in items}) != len(items):
         raise BadInputError("two items have the same id")
+    malformed = [
+        item for item in items if item.headers.get(names.PROMPT_PREFIX) and not item.prompt_parts
+    ]
+    if malformed:
+        events.emit(
+            events.PROMPT_PARTS_IGNORED,
+            job=job_id,
+            items=len(malformed),
+            first=malformed[0].item_id,
+            value=malformed[0].headers[names.PROMPT_PREFIX][:80],
+        )
     return Job(
         job_id,
         host,
@@ -265,9 +281,20 @@
         typed_field(entry, "group", str, ""),
         parse_scorer(scorer) if scorer is not None else None,
         parse_estimate(headers.get(names.TOKEN_USAGE, "").partition(",")[0]),
+        parse_prompt_parts(headers.get(names.PROMPT_PREFIX, "")),
     )
 
 
+def parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
+    """Parse the parts of a prompt; a malformed list counts as no parts."""
+    entries = text.split(",") if text else []
+    matches = [PROMPT_PART.fullmatch(entry.strip()) for entry in entries]
+    if len(matches) > MAX_PROMPT_PARTS:
+        return ()
+    parts = [PromptPart(match[1].lower(), int(match[2])) for match in matches if match]
+    return tuple(parts) if len(parts) == len(matches) else ()
+
+
 def parse_estimate(text: str) -> int:
     """Parse a number of tokens that a caller states; 0 if there is no valid number."""
     return int(text) if text.isascii() and text.isdigit() else 0
--- a/src/apricotvale/requests/calls.py
+++ b/src/apricotvale/requests/calls.py
@@ -51,6 +51,7 @@
     """A request to generate one item as an event stream.
 
     :param resume_after: id of the last event received; the stream resumes after it.
+    :param priority: urgency from 0 (first) to 9 that the engine is told; None sends none.
     """
 
     target: str
@@ -59,6 +60,7 @@
     body: bytes
     headers: dict[str, str] = field(factory=dict)
     resume_after: int | None = None
+    priority: int | None = None
 
 
 class RunStream(Protocol):
