Choose engines and move runs by expected completion

Engines over 1.5 times slower than the fastest were always used last, so long items that found the fast engines full went to slow ones and were late there. If speeds differ by more than 1.25, the cost is now the expected time of the run and its effect on the runs beside it. An item that would be late on every engine with a free slot waits for a faster one if it ends sooner there.

Runs move if they end sooner by a third and 0.3 s, or in time on the other engine only, and from engines that leave. Moves do not react to slow periods any more.

--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -6,17 +6,30 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
-from attrs import define
+from attrs import define, evolve
 
 from apricotvale import clock, events, metrics
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.runtime import TaskGroup
-from apricotvale.discovery import Upstream
+from apricotvale.discovery import Standing, Upstream
+from apricotvale.engines.prefixes import DEFAULT_MEMORY_TOKENS, PrefixCache
+from apricotvale.engines.priority import run_priority, service_priorities, urgency_class
+from apricotvale.engines.speed import EngineSpeed, ServiceSpeed
 from apricotvale.exceptions import TruncatedStreamError
 from apricotvale.fleet import commands as c
 from apricotvale.fleet.state import FleetState
 from apricotvale.jobs import Item, ItemState, Job, Progress, Result, RewardCall
-from apricotvale.jobs.placement import Demand, EngineUsage, choose_engine, should_move
+from apricotvale.jobs.placement import (
+    EVEN_SPEED_RATIO,
+    TRIAL_S,
+    Demand,
+    EngineUsage,
+    Outlook,
+    SpeedRange,
+    choose_engine,
+    should_move,
+    speed_range,
+)
 from apricotvale.jobs.scheduling import (
     WaitingItem,
     expected_length,
@@ -30,7 +43,7 @@
 from apricotvale.requests.calls import Answer, Call, RunRequest, RunStream, UpstreamClient
 from apricotvale.requests.routing import Pace
 from apricotvale.routes import Route, RouteTable
-from apricotvale.weights.orders import EngineLoads, WaitingWork, is_loading
+from apricotvale.weights.orders import EngineLoads, WaitingWork, is_loading, known_version
 
 # A run without an event for this long is resumed on another engine. A weight load pauses the runs
 # that continue across it for about 1 s, which must not count as a stall.
@@ -63,6 +76,9 @@
     :param move_requested: whether to stop the run so that it resumes on a faster engine.
     :param saved_events: events of the output that are in the replicated state.
     :param was_interrupted: whether the output consists of several runs.
+    :param slack_s: the item's latest start minus the start of the run.
+    :param is_spare: whether the trainer waits for other groups than the item's.
+    :param read_tokens: tokens of the prompt that the engine had not cached.
     """
 
     job: Job
@@ -75,6 +91,9 @@
     move_requested: bool = False
     saved_events: int = 0
     was_interrupted: bool = False
+    slack_s: float = 0.0
+    is_spare: bool = False
+    read_tokens: int = 0
     task: asyncio.Task[None] | None = None
 
 
@@ -90,6 +109,8 @@
     `run_pace` is the time of complete runs for each expected token of their output.
     `runs` holds the items that run now and `waiting` those whose run was interrupted, both by job
     id and item id. `seen_at` holds the time at which this leader first saw each job.
+    `engines` holds the engines of each set of services with the registry position of the list, and
+    `ready_engines` those that accepted work then. `speeds` and `outlooks` are those of `pass_at`.
     """
 
     def __init__(
@@ -115,6 +136,16 @@
         self.seen_at: dict[str, float] = {}
         self.next_move_at = 0.0
         self.run_pace = Pace()
+        self.run_time = Pace()
+        self.service_speeds: dict[str, ServiceSpeed] = {}
+        self.prefixes = PrefixCache()
+        self.read_tokens: dict[tuple[str, str], int] = {}
+        self.engines: dict[frozenset[str], tuple[int, list[Upstream]]] = {}
+        self.ready_engines: dict[frozenset[str], set[str]] = {}
+        self.pass_at = float("-inf")
+        self.speeds = SpeedRange()
+        self.outlooks: dict[frozenset[str], Outlook] = {}
+        self.priorities: tuple[RouteTable | None, dict[str, list[int]]] = (None, {})
         self.tasks = TaskGroup()
 
     def tick(self, now: float) -> None:
@@ -166,6 +197,8 @@
                 continue
             run = self.waiting.pop(key, None) or self.create_run(job, item)
             run.engine, run.started_at, run.move_requested = engine, now, False
+            run.slack_s, run.is_spare = candidate.latest_start - now, candidate.is_spare
+            run.read_tokens = self.read_tokens.pop(key, 0)
             self.runs[key] = run
             usage = self.usages.setdefault(engine.incarnation, EngineUsage())
             usage.begin(demand)
@@ -188,21 +221,67 @@
         return waiting
 
     def move_runs(self, now: float) -> None:
-        """Request moves of runs on slow engines to much faster engines with free slots."""
+        """Request moves of runs that are expected to end sooner, or in time, on another engine."""
         if self.table is None:
             return
+        speeds = self.current_speeds(now)
+        upstreams = self.state.registry.state.upstreams
         moved: Counter[str] = Counter()
         for run in self.runs.values():
-            if run.engine is None or run.move_requested or now < run.started_at + MOVE_MIN_AGE_S:
+            if run.engine is None or run.move_requested:
+                continue
+            engine = upstreams.get(run.engine.upstream_id)
+            if engine is None or engine.incarnation != run.engine.incarnation:
+                engine = run.engine
+            is_leaving = engine.standing is Standing.DRAINING
+            if not is_leaving and (
+                now < run.started_at + MOVE_MIN_AGE_S or not self.is_slower(engine, speeds)
+            ):
                 continue
             route = self.table.match(run.job.host, run.job.path)
-            other = self.find_engine(route, run.job, run.item, now) if route else None
-            if other is None or not should_move(run.engine, other, self.usages):
+            if route is None:
+                continue
+            demand = self.remaining_demand(route, run)
+            other = self.find_engine(route, run.job, run.item, now, demand)
+            if other is None:
                 continue
-            if moved[other.incarnation] < MAX_MOVES_PER_ENGINE:
+            if route.single_version and self.version_of(other, run.job) != run.transcript.version:
+                demand = self.demand_of(route, run.job, run.item)
+            if not should_move(engine, other, self.usages, demand, now, speeds):
+                continue
+            usage = self.usages[other.incarnation]
+            free = other.capacity - usage.in_flight
+            limit = free if is_leaving else min(free, MAX_MOVES_PER_ENGINE)
+            if moved[other.incarnation] < limit:
                 moved[other.incarnation] += 1
                 run.move_requested = True
 
+    def is_slower(self, engine: Upstream, speeds: SpeedRange) -> bool:
+        """Return whether any engine is known to be so much faster that a move may be useful."""
+        usage = self.usages.get(engine.incarnation)
+        if usage is None:
+            return False
+        slope = usage.pace.service.slope
+        time = usage.pace.seconds_per_event * (1.0 + slope * (usage.in_flight - 1))
+        return time > speeds.fastest * EVEN_SPEED_RATIO
+
+    def remaining_demand(self, route: Route, run: ItemRun) -> Demand:
+        """Return what the rest of a run needs, if its output so far is kept.
+
+        An output that is longer than expected is expected to become twice as long as it is.
+        """
+        demand = self.demand_of(route, run.job, run.item)
+        speed = self.service_speed(route)
+        generated = round(len(run.transcript.data) * speed.tokens_per_event)
+        limit = run.item.tokens - run.item.prompt_tokens
+        expected = demand.output_tokens if demand.output_tokens > generated else 2 * generated
+        left = min(expected, limit) - generated if limit > 0 else expected - generated
+        return evolve(
+            demand,
+            output_tokens=max(1, left),
+            prompt_tokens=demand.prompt_tokens + generated,
+        )
+
     def create_run(self, job: Job, item: Item) -> ItemRun:
         """Create the run of an item, with the output that an earlier leader saved."""
         run = ItemRun(job, item, Transcript(self.version_field))
@@ -236,17 +315,103 @@
                 for run, event_count in saved:
                     run.saved_events = event_count
 
-    def find_engine(self, route: Route, job: Job, item: Item, now: float) -> Upstream | None:
-        """Return the engine for an item of a job, or None if no engine can take it."""
-        services = {backend.service for backend in route.backends if backend.weight > 0}
+    def find_engine(
+        self,
+        route: Route,
+        job: Job,
+        item: Item,
+        now: float,
+        demand: Demand | None = None,
+        outlook: Outlook | None = None,
+    ) -> Upstream | None:
+        """Return the engine for an item of a job, or None if no engine can take it.
+
+        :param demand: what the item still needs; by default the whole item.
+        :param outlook: allows the item to wait for a faster engine.
+        """
+        services = services_of(route)
+        engines = self.engines_of(services, now)
+        memory_tokens = min((self.memory_tokens(service) for service in services), default=0)
+        parts = item.prompt_parts
+        return choose_engine(
+            engines,
+            self.usages,
+            self.loads,
+            demand or self.demand_of(route, job, item),
+            now,
+            memory_tokens,
+            self.prefixes.cached_tokens(job.model, parts) if parts else {},
+            outlook,
+            self.current_speeds(now),
+        )
+
+    def engines_of(self, services: frozenset[str], now: float) -> list[Upstream]:
+        """Return the engines of services, with a usage record of each.
+
+        An engine that begins to accept work while this replica leads is on trial.
+        """
+        position = self.state.registry.state.position
+        known = self.engines.get(services)
+        if known is not None and known[0] == position:
+            return known[1]
         engines = [
             upstream
             for upstream in self.state.registry.state.upstreams.values()
             if upstream.service in services
         ]
-        memory_tokens = min((self.memory_tokens(service) for service in services), default=0)
-        demand = demand_of(job, item)
-        return choose_engine(engines, self.usages, self.loads, demand, now, memory_tokens)
+        for engine in engines:
+            usage = self.usages.get(engine.incarnation)
+            if usage is None:
+                speed = self.service_speeds.setdefault(engine.service, ServiceSpeed())
+                usage = self.usages[engine.incarnation] = EngineUsage(pace=EngineSpeed(speed))
+        ready = {engine.incarnation for engine in engines if engine.standing is Standing.READY}
+        before = self.ready_engines.get(services, ready)
+        for incarnation in ready - before:
+            usage = self.usages[incarnation]
+            usage.trial_until, usage.trial_runs = now + TRIAL_S, 0
+        self.ready_engines[services] = ready
+        self.engines[services] = (position, engines)
+        return engines
+
+    def current_speeds(self, now: float) -> SpeedRange:
+        """Return the range of the engines' speeds; starts another pass over the waiting items."""
+        if now != self.pass_at:
+            self.pass_at = now
+            for usage in self.usages.values():
+                usage.pace.expire(now)
+            self.speeds = speed_range(self.usages)
+            self.outlooks.clear()
+        return self.speeds
+
+    def demand_of(self, route: Route, job: Job, item: Item) -> Demand:
+        """Return what an item of a job needs of an engine."""
+        seen_at = self.seen_at.get(job.job_id)
+        due_at = float("inf")
+        if seen_at is not None and route.job_deadline_ms > 0:
+            due_at = seen_at + route.job_deadline_ms / 1000
+        return evolve(
+            demand_of(job, item),
+            output_tokens=expected_length(item),
+            prompt_tokens=item.prompt_tokens,
+            due_at=due_at,
+        )
+
+    def service_speed(self, route: Route) -> ServiceSpeed:
+        """Return the facts that the engines of a route's first service share."""
+        service = next(iter(services_of(route)), "")
+        return self.service_speeds.setdefault(service, ServiceSpeed())
+
+    def version_of(self, engine: Upstream, job: Job) -> int:
+        """Return the newest version of a job's model that an engine is known to hold."""
+        return known_version(engine, self.loads.get(engine.incarnation), job.model)
+
+    def priority_of(self, route: Route, run: ItemRun) -> int | None:
+        """Return the urgency that the engine is told, None if all routes have the same."""
+        if self.priorities[0] is not self.table:
+            table = self.table
+            self.priorities = (table, service_priorities(table) if table else {})
+        rank = urgency_class(self.priorities[1], route, route.priority)
+        return None if rank is None else run_priority(run.slack_s, run.is_spare, rank)
 
     def memory_tokens(self, service: str) -> int:
         """Return the memory of a service's engines in tokens, 0 if it is unknown."""
@@ -254,22 +419,49 @@
         return found.engine.memory_tokens if found and found.engine else 0
 
     def select_engine(self, route: Route, job: Job, item: Item, now: float) -> Upstream | None:
-        """Return the engine for an item, or None, and log the choice."""
-        engine = self.find_engine(route, job, item, now)
+        """Return the engine for an item, or None, and log the choice.
+
+        The engine counts as having the item's prompt from now on, so that other items of the group
+        that start in the same pass find it there.
+        """
+        self.current_speeds(now)
+        services = services_of(route)
+        outlook = self.outlooks.get(services)
+        if outlook is None:
+            run_s = self.run_time.seconds_per_token
+            outlook = self.outlooks[services] = Outlook(run_s) if run_s else Outlook()
+        engine = self.find_engine(route, job, item, now, None, outlook)
         if engine is not None:
-            usage = self.usages.get(engine.incarnation) or EngineUsage()
+            usage = self.usages[engine.incarnation]
+            cached = self.record_prefix(engine, usage, job, item)
             events.emit(
                 events.ITEM_PLACED,
                 job=job.job_id,
                 item=item.item_id,
                 upstream=engine.incarnation,
                 in_flight=usage.in_flight,
-                pace_ms=round(usage.pace.seconds_per_token * 1000, 1),
+                pace_ms=round(usage.pace.seconds_per_event * 1000, 1),
+                pace_age_ms=round(min(usage.pace.age_s(now), 3600.0) * 1000),
+                cached_tokens=cached,
                 expected_tokens=item.expected_tokens,
                 registry=self.state.registry.state.position,
             )
         return engine
 
+    def record_prefix(self, engine: Upstream, usage: EngineUsage, job: Job, item: Item) -> int:
+        """Record that an engine gets an item's prompt; return the tokens that it has cached."""
+        version = self.version_of(engine, job)
+        cached = 0
+        if item.prompt_parts:
+            found = self.prefixes.cached_tokens(job.model, item.prompt_parts)
+            held_version, tokens = found.get(engine.incarnation, (version, 0))
+            cached = min(tokens, item.prompt_tokens) if held_version == version else 0
+            memory_tokens = self.memory_tokens(engine.service) or DEFAULT_MEMORY_TOKENS
+            free = max(0, memory_tokens - usage.expected_tokens)
+            self.prefixes.add(engine.incarnation, job.model, version, item.prompt_parts, free)
+        self.read_tokens[job.job_id, item.item_id] = item.prompt_tokens - cached
+        return cached
+
     # Running one item
 
     async def run_item(
@@ -307,8 +499,10 @@
             run.item.body,
             run.item.headers,
             run.transcript.last_event_id,
+            self.priority_of(route, run),
         )
         why = ""
+        sent_at = clock.now()
         try:
             async with self.client.run(engine, request) as stream:
                 if isinstance(stream, Answer):
@@ -327,17 +521,19 @@
                     if route.single_version and run.transcript.versions != [stream.version]:
                         run.transcript.restart()
                         run.saved_events = 0
+                    self.record_read(run, usage, clock.now() - sent_at)
                     completed = await self.read_stream(run, stream, usage, engine)
                     usage.succeed()
                     if completed:
-                        self.record_pace(run)
+                        self.record_pace(run, usage)
                         return ItemState.COMPLETED
                     events.emit(
                         events.ITEM_MOVED,
                         job=run.job.job_id,
                         item=run.item.item_id,
                         upstream=engine.incarnation,
-                        pace_ms=round(usage.pace.seconds_per_token * 1000, 1),
+                        pace_ms=round(usage.pace.seconds_per_event * 1000, 1),
+                        pace_age_ms=round(usage.pace.age_s(clock.now()) * 1000),
                         last_event=run.transcript.last_event_id,
                     )
                     return None
@@ -382,12 +578,13 @@
                 return True
             event_count = run.transcript.feed(chunk)
             now = clock.now()
+            usage.trial_runs += bool(event_count and last_event_at is None)
             if (
                 event_count
                 and last_event_at is not None
                 and not is_loading(self.loads.get(engine.incarnation), now)
             ):
-                usage.pace.add(now - last_event_at, event_count)
+                usage.pace.add(now - last_event_at, event_count, usage.in_flight, now)
             last_event_at = now if event_count else last_event_at
         return False
 
@@ -411,11 +608,25 @@
             return ItemState.FAILED
         return None
 
-    def record_pace(self, run: ItemRun) -> None:
+    def record_pace(self, run: ItemRun, usage: EngineUsage) -> None:
         """Record the time of a run, unless it completed an output that another run began."""
+        if run.was_interrupted:
+            return
+        seconds = clock.now() - run.started_at
+        self.run_time.add(seconds, 1)
         length = expected_length(run.item)
-        if length and not run.was_interrupted:
-            self.run_pace.add(clock.now() - run.started_at, length)
+        if length:
+            self.run_pace.add(seconds, length)
+        if run.item.expected_tokens:
+            usage.pace.service.add_output(length, len(run.transcript.data))
+
+    def record_read(self, run: ItemRun, usage: EngineUsage, seconds: float) -> None:
+        """Record the time until a run's first event, which includes reading the prompt."""
+        speed = usage.pace
+        if run.was_interrupted or not speed.seconds_per_event:
+            return
+        event_s = speed.expected_seconds(speed.service.tokens_per_event, usage.in_flight)
+        speed.service.add_read(run.read_tokens, seconds - event_s)
 
     def record_version(self, engine: Upstream, model: str, version: int) -> None:
         """Record the weight version that an engine reported."""
@@ -502,6 +713,8 @@
                 del self.usages[incarnation]
         for incarnation in [known for known in self.loads if known not in incarnations]:
             del self.loads[incarnation]
+        for incarnation in [known for known in self.prefixes.engines if known not in incarnations]:
+            self.prefixes.forget(incarnation)
 
     def stop(self) -> None:
         """Cancel all runs; the next leader runs the items without a result again."""
@@ -511,8 +724,19 @@
                 run.task.cancel()
         self.waiting.clear()
         self.seen_at.clear()
+        self.prefixes.clear()
+        self.read_tokens.clear()
+        self.engines.clear()
+        self.ready_engines.clear()
+        for usage in self.usages.values():
+            usage.pace.forget()
 
 
 def demand_of(job: Job, item: Item) -> Demand:
     """Return what an item of a job needs of an engine."""
     return Demand(job.model, job.min_version, expected_memory(item))
+
+
+def services_of(route: Route) -> frozenset[str]:
+    """Return the services of a route that get requests."""
+    return frozenset(backend.service for backend in route.backends if backend.weight > 0)
