--- a/src/apricotvale/daemons/load_scheduler.py
+++ b/src/apricotvale/daemons/load_scheduler.py
@@ -83,7 +83,15 @@
             for incarnation, usage in self.runner.usages.items()
             for model, runs in usage.by_model.items()
         }
-        self.assigned = assign_engines(engines, self.demand(), self.runner.loads, self.assigned)
+        speeds = {
+            engine.incarnation: 1.0 / usage.pace.seconds_per_event
+            for engine in engines
+            if (usage := self.runner.usages.get(engine.incarnation))
+            and usage.pace.seconds_per_event
+        }
+        self.assigned = assign_engines(
+            engines, self.demand(), self.runner.loads, self.assigned, speeds
+        )
         planned = plan_loads(
             list(self.targets.values()),
             engines,
