--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -20,13 +20,13 @@
 from apricotvale.fleet.state import FleetState
 from apricotvale.jobs import Item, ItemState, Job, Progress, Result, RewardCall
 from apricotvale.jobs.placement import (
-    EVEN_SPEED_RATIO,
     TRIAL_S,
     Demand,
     EngineUsage,
     Outlook,
     SpeedRange,
     choose_engine,
+    may_be_left,
     should_move,
     speed_range,
 )
@@ -235,7 +235,8 @@
                 engine = run.engine
             is_leaving = engine.standing is Standing.DRAINING
             if not is_leaving and (
-                now < run.started_at + MOVE_MIN_AGE_S or not self.is_slower(engine, speeds)
+                now < run.started_at + MOVE_MIN_AGE_S
+                or not may_be_left(engine, self.usages, speeds)
             ):
                 continue
             route = self.table.match(run.job.host, run.job.path)
@@ -256,15 +257,6 @@
                 moved[other.incarnation] += 1
                 run.move_requested = True
 
-    def is_slower(self, engine: Upstream, speeds: SpeedRange) -> bool:
-        """Return whether any engine is known to be so much faster that a move may be useful."""
-        usage = self.usages.get(engine.incarnation)
-        if usage is None:
-            return False
-        slope = usage.pace.service.slope
-        time = usage.pace.seconds_per_event * (1.0 + slope * (usage.in_flight - 1))
-        return time > speeds.fastest * EVEN_SPEED_RATIO
-
     def remaining_demand(self, route: Route, run: ItemRun) -> Demand:
         """Return what the rest of a run needs, if its output so far is kept.
 
--- a/src/apricotvale/engines/speed.py
+++ b/src/apricotvale/engines/speed.py
@@ -20,12 +20,17 @@
 BIN_S = 0.2
 MAX_BINS = 40
 # Slow periods, prompts and loads only lengthen gaps. Below the median, an estimate stays right
-# until three fifths of the bins are disturbed.
+# until three fifths of the bins are disturbed. One slow period may fill most of the first bins, so
+# the least of these counts.
 BIN_QUANTILE = 0.4
 # All bins of 2 s are disturbed only if at least four slow periods follow each other, which happens
 # to one engine in 2,000 such spans. Otherwise the engine's speed itself has changed.
 SHIFT_BINS = 10
 SHIFT_RATIO = 1.5
+SETTLED_BINS = 4
+# Slow periods are 2.5 times slower and last for 3 bins. What is slower for longer is no such period.
+STALL_BINS = 4
+STALL_RATIO = 3.2
 # An older estimate counts as unknown.
 MAX_AGE_S = 60.0
 TOKENS_PER_EVENT = 49.0
@@ -151,20 +156,30 @@
     def close_bin(self) -> None:
         """Add the current bin to the estimate."""
         self.bins.append(self.bin_value())
-        if len(self.bins) >= SHIFT_BINS and self.seconds_per_event:
+        if len(self.bins) > STALL_BINS and self.seconds_per_event:
             recent = list(self.bins)[-SHIFT_BINS:]
-            is_slower = min(recent) > self.seconds_per_event * SHIFT_RATIO
-            if is_slower or max(recent) * SHIFT_RATIO < self.seconds_per_event:
+            is_long = len(recent) == SHIFT_BINS
+            if min(recent[-STALL_BINS:]) > self.seconds_per_event * STALL_RATIO:
+                self.bins = deque(recent[-STALL_BINS:], maxlen=MAX_BINS)
+            elif is_long and min(recent) > self.seconds_per_event * SHIFT_RATIO:
+                self.bins = deque(recent, maxlen=MAX_BINS)
+            elif is_long and max(recent) * SHIFT_RATIO < self.seconds_per_event:
                 self.bins = deque(recent, maxlen=MAX_BINS)
             else:
                 runs = self.bin_run_events / self.bin_events
                 average = self.bin_seconds / self.bin_events
                 self.service.add_ratio(runs, average / self.seconds_per_event)
         ranked = sorted(self.bins)
-        self.seconds_per_event = ranked[int((len(ranked) - 1) * BIN_QUANTILE)]
+        quantile = BIN_QUANTILE if len(ranked) >= SHIFT_BINS else 0.0
+        self.seconds_per_event = ranked[int((len(ranked) - 1) * quantile)]
         self.bin_seconds = self.bin_run_events = 0.0
         self.bin_events = 0
 
+    @property
+    def is_settled(self) -> bool:
+        """Return whether the gaps span more time than one slow period."""
+        return len(self.bins) >= SETTLED_BINS
+
     def age_s(self, now: float) -> float:
         """Return the age of the estimate."""
         return now - self.updated_at
--- a/src/apricotvale/jobs/placement.py
+++ b/src/apricotvale/jobs/placement.py
@@ -274,6 +274,20 @@
     return read_s + usage.pace.expected_seconds(tokens, runs, unknown_time)
 
 
+def may_be_left(engine: Upstream, usages: dict[str, EngineUsage], speeds: SpeedRange) -> bool:
+    """Return whether runs on an engine may gain from a move, to look for another one only then.
+
+    The first gaps of an engine may all be from one slow period, so runs are not moved because of
+    these.
+    """
+    usage = usages.get(engine.incarnation)
+    if usage is None or not usage.pace.is_settled:
+        return False
+    slope = usage.pace.service.slope
+    time = usage.pace.seconds_per_event * (1.0 + slope * (usage.in_flight - 1))
+    return time > speeds.fastest * EVEN_SPEED_RATIO
+
+
 def should_move(
     engine: Upstream,
     other: Upstream,
--- a/src/apricotvale/weights/assignment.py
+++ b/src/apricotvale/weights/assignment.py
@@ -105,8 +105,8 @@
         held[model] += speed_of[incarnation]
         del free[incarnation]
 
-    for number, model in enumerate(sorted(demand, key=lambda model: (demand[model], model))):
-        needed_by_others = len(demand) - number - 1
+    for model in sorted(demand, key=lambda model: (demand[model], model)):
+        needed_by_others = sum(not assigned[other] for other in demand if other != model)
         kept = previous.get(model, set()) & free.keys()
         for incarnation in sorted(kept, key=lambda name: (-speed_of[name], name)):
             if held[model] < demand[model] * wanted_speed and len(free) > needed_by_others:
