--- a/src/apricotvale/platform/wire.py
+++ b/src/apricotvale/platform/wire.py
@@ -197,11 +197,14 @@
     :raises BadInputError: if the report is invalid.
     """
     document = read_json(body)
-    return EngineReport(
+    report = EngineReport(
         typed_field(document, "sequence", int),
         typed_field(document, "busy", bool),
         parse_models(document),
     )
+    if report.orders < 0 or any(version < 0 for version in report.models.values()):
+        raise BadInputError("a number of orders or a version is negative")
+    return report
 
 
 def format_order(order: LoadOrder) -> dict[str, Any]:
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -13,6 +13,7 @@
 from apricotvale.discovery import Standing, Upstream
 from apricotvale.engines.prefixes import PrefixCache
 from apricotvale.engines.speed import EngineSpeed
+from apricotvale.exceptions import BadInputError
 from apricotvale.jobs import Item, PromptPart
 from apricotvale.jobs.placement import Demand, EngineUsage, choose_engine
 from apricotvale.platform import wire
@@ -161,3 +162,11 @@
         hits += bool(idlest & whole)
         cache.add(engine.incarnation, "m", 3, parts, 4_000)
     assert hits > 100
+
+
+@pytest.mark.parametrize("changes", [{"sequence": -1}, {"models": [{"name": "m", "version": -2}]}])
+def test_a_report_with_a_negative_number_is_ignored(changes):
+    """A negative number of orders would be the precondition of the next load order."""
+    report = {"sequence": 1, "busy": False, "models": [{"name": "m", "version": 2}]} | changes
+    with pytest.raises(BadInputError):
+        wire.parse_report(json.dumps(report).encode())
