Move the runner's state about engines to engines/pool.py

Speeds are now compared among the engines of a route's services only, so that the engines of another service do not change how even ones are chosen. Engines that were forgotten while they are in the registry are known again.

--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -12,24 +12,13 @@
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.runtime import TaskGroup
 from apricotvale.discovery import Standing, Upstream
-from apricotvale.engines.prefixes import DEFAULT_MEMORY_TOKENS, PrefixCache
+from apricotvale.engines.pool import EnginePool, ServiceEngines, services_of
 from apricotvale.engines.priority import run_priority, service_priorities, urgency_class
-from apricotvale.engines.speed import EngineSpeed, ServiceSpeed
 from apricotvale.exceptions import TruncatedStreamError
 from apricotvale.fleet import commands as c
 from apricotvale.fleet.state import FleetState
 from apricotvale.jobs import Item, ItemState, Job, Progress, Result, RewardCall
-from apricotvale.jobs.placement import (
-    TRIAL_S,
-    Demand,
-    EngineUsage,
-    Outlook,
-    SpeedRange,
-    choose_engine,
-    may_be_left,
-    should_move,
-    speed_range,
-)
+from apricotvale.jobs.placement import Demand, EngineUsage, may_be_left, should_move
 from apricotvale.jobs.scheduling import (
     WaitingItem,
     expected_length,
@@ -43,7 +32,7 @@
 from apricotvale.requests.calls import Answer, Call, RunRequest, RunStream, UpstreamClient
 from apricotvale.requests.routing import Pace
 from apricotvale.routes import Route, RouteTable
-from apricotvale.weights.orders import EngineLoads, WaitingWork, is_loading, known_version
+from apricotvale.weights.orders import EngineLoads, WaitingWork, is_loading
 
 # A run without an event for this long is resumed on another engine. A weight load pauses the runs
 # that continue across it for about 1 s, which must not count as a stall.
@@ -109,8 +98,7 @@
     `run_pace` is the time of complete runs for each expected token of their output.
     `runs` holds the items that run now and `waiting` those whose run was interrupted, both by job
     id and item id. `seen_at` holds the time at which this leader first saw each job.
-    `engines` holds the engines of each set of services with the registry position of the list, and
-    `ready_engines` those that accepted work then. `speeds` and `outlooks` are those of `pass_at`.
+    `read_tokens` holds the prompt tokens that the engine of an item that starts has not cached.
     """
 
     def __init__(
@@ -127,8 +115,9 @@
         self.commit = commit
         self.version_field = version_field
         self.table: RouteTable | None = None
-        self.usages: dict[str, EngineUsage] = {}
-        self.loads: dict[str, EngineLoads] = {}
+        self.pool = EnginePool()
+        self.usages = self.pool.usages
+        self.loads = self.pool.loads
         self.runs: dict[tuple[str, str], ItemRun] = {}
         self.waiting: dict[tuple[str, str], ItemRun] = {}
         self.rewards_in_flight: Counter[str] = Counter()
@@ -137,14 +126,7 @@
         self.next_move_at = 0.0
         self.run_pace = Pace()
         self.run_time = Pace()
-        self.service_speeds: dict[str, ServiceSpeed] = {}
-        self.prefixes = PrefixCache()
         self.read_tokens: dict[tuple[str, str], int] = {}
-        self.engines: dict[frozenset[str], tuple[int, list[Upstream]]] = {}
-        self.ready_engines: dict[frozenset[str], set[str]] = {}
-        self.pass_at = float("-inf")
-        self.speeds = SpeedRange()
-        self.outlooks: dict[frozenset[str], Outlook] = {}
         self.priorities: tuple[RouteTable | None, dict[str, list[int]]] = (None, {})
         self.tasks = TaskGroup()
 
@@ -224,7 +206,6 @@
         """Request moves of runs that are expected to end sooner, or in time, on another engine."""
         if self.table is None:
             return
-        speeds = self.current_speeds(now)
         upstreams = self.state.registry.state.upstreams
         moved: Counter[str] = Counter()
         for run in self.runs.values():
@@ -233,20 +214,22 @@
             engine = upstreams.get(run.engine.upstream_id)
             if engine is None or engine.incarnation != run.engine.incarnation:
                 engine = run.engine
+            route = self.table.match(run.job.host, run.job.path)
+            if route is None:
+                continue
             is_leaving = engine.standing is Standing.DRAINING
+            speeds = self.engines_of(route, now).speeds
             if not is_leaving and (
                 now < run.started_at + MOVE_MIN_AGE_S
                 or not may_be_left(engine, self.usages, speeds)
             ):
                 continue
-            route = self.table.match(run.job.host, run.job.path)
-            if route is None:
-                continue
             demand = self.remaining_demand(route, run)
             other = self.find_engine(route, run.job, run.item, now, demand)
             if other is None:
                 continue
-            if route.single_version and self.version_of(other, run.job) != run.transcript.version:
+            version = self.pool.version_of(other, run.job.model)
+            if route.single_version and version != run.transcript.version:
                 demand = self.demand_of(route, run.job, run.item)
             if not should_move(engine, other, self.usages, demand, now, speeds):
                 continue
@@ -263,8 +246,9 @@
         An output that is longer than expected is expected to become twice as long as it is.
         """
         demand = self.demand_of(route, run.job, run.item)
-        speed = self.service_speed(route)
-        generated = round(len(run.transcript.data) * speed.tokens_per_event)
+        service = next(iter(services_of(route)), "")
+        event_tokens = self.pool.speed_of(service).tokens_per_event
+        generated = round(len(run.transcript.data) * event_tokens)
         limit = run.item.tokens - run.item.prompt_tokens
         expected = demand.output_tokens if demand.output_tokens > generated else 2 * generated
         left = min(expected, limit) - generated if limit > 0 else expected - generated
@@ -314,66 +298,22 @@
         item: Item,
         now: float,
         demand: Demand | None = None,
-        outlook: Outlook | None = None,
+        may_wait: bool = False,
     ) -> Upstream | None:
         """Return the engine for an item of a job, or None if no engine can take it.
 
         :param demand: what the item still needs; by default the whole item.
-        :param outlook: allows the item to wait for a faster engine.
+        :param may_wait: whether the item may wait for a faster engine.
         """
-        services = services_of(route)
-        engines = self.engines_of(services, now)
-        memory_tokens = min((self.memory_tokens(service) for service in services), default=0)
-        parts = item.prompt_parts
-        return choose_engine(
-            engines,
-            self.usages,
-            self.loads,
-            demand or self.demand_of(route, job, item),
-            now,
-            memory_tokens,
-            self.prefixes.cached_tokens(job.model, parts) if parts else {},
-            outlook,
-            self.current_speeds(now),
-        )
+        found = self.engines_of(route, now)
+        memory_tokens = min((self.memory_tokens(name) for name in services_of(route)), default=0)
+        demand = demand or self.demand_of(route, job, item)
+        return self.pool.choose(found, job, item, demand, now, memory_tokens, may_wait)
 
-    def engines_of(self, services: frozenset[str], now: float) -> list[Upstream]:
-        """Return the engines of services, with a usage record of each.
-
-        An engine that begins to accept work while this replica leads is on trial.
-        """
-        position = self.state.registry.state.position
-        known = self.engines.get(services)
-        if known is not None and known[0] == position:
-            return known[1]
-        engines = [
-            upstream
-            for upstream in self.state.registry.state.upstreams.values()
-            if upstream.service in services
-        ]
-        for engine in engines:
-            usage = self.usages.get(engine.incarnation)
-            if usage is None:
-                speed = self.service_speeds.setdefault(engine.service, ServiceSpeed())
-                usage = self.usages[engine.incarnation] = EngineUsage(pace=EngineSpeed(speed))
-        ready = {engine.incarnation for engine in engines if engine.standing is Standing.READY}
-        before = self.ready_engines.get(services, ready)
-        for incarnation in ready - before:
-            usage = self.usages[incarnation]
-            usage.trial_until, usage.trial_runs = now + TRIAL_S, 0
-        self.ready_engines[services] = ready
-        self.engines[services] = (position, engines)
-        return engines
-
-    def current_speeds(self, now: float) -> SpeedRange:
-        """Return the range of the engines' speeds; starts another pass over the waiting items."""
-        if now != self.pass_at:
-            self.pass_at = now
-            for usage in self.usages.values():
-                usage.pace.expire(now)
-            self.speeds = speed_range(self.usages)
-            self.outlooks.clear()
-        return self.speeds
+    def engines_of(self, route: Route, now: float) -> ServiceEngines:
+        """Return the engines of a route's services."""
+        run_s = self.run_time.seconds_per_token
+        return self.pool.find(self.state.registry.state, services_of(route), now, run_s)
 
     def demand_of(self, route: Route, job: Job, item: Item) -> Demand:
         """Return what an item of a job needs of an engine."""
@@ -388,15 +328,6 @@
             due_at=due_at,
         )
 
-    def service_speed(self, route: Route) -> ServiceSpeed:
-        """Return the facts that the engines of a route's first service share."""
-        service = next(iter(services_of(route)), "")
-        return self.service_speeds.setdefault(service, ServiceSpeed())
-
-    def version_of(self, engine: Upstream, job: Job) -> int:
-        """Return the newest version of a job's model that an engine is known to hold."""
-        return known_version(engine, self.loads.get(engine.incarnation), job.model)
-
     def priority_of(self, route: Route, run: ItemRun) -> int | None:
         """Return the urgency that the engine is told, None if all routes have the same."""
         if self.priorities[0] is not self.table:
@@ -416,16 +347,12 @@
         The engine counts as having the item's prompt from now on, so that other items of the group
         that start in the same pass find it there.
         """
-        self.current_speeds(now)
-        services = services_of(route)
-        outlook = self.outlooks.get(services)
-        if outlook is None:
-            run_s = self.run_time.seconds_per_token
-            outlook = self.outlooks[services] = Outlook(run_s) if run_s else Outlook()
-        engine = self.find_engine(route, job, item, now, None, outlook)
+        engine = self.find_engine(route, job, item, now, may_wait=True)
         if engine is not None:
             usage = self.usages[engine.incarnation]
-            cached = self.record_prefix(engine, usage, job, item)
+            memory_tokens = self.memory_tokens(engine.service)
+            cached = self.pool.record_prompt(engine, job, item, memory_tokens)
+            self.read_tokens[job.job_id, item.item_id] = item.prompt_tokens - cached
             events.emit(
                 events.ITEM_PLACED,
                 job=job.job_id,
@@ -440,20 +367,6 @@
             )
         return engine
 
-    def record_prefix(self, engine: Upstream, usage: EngineUsage, job: Job, item: Item) -> int:
-        """Record that an engine gets an item's prompt; return the tokens that it has cached."""
-        version = self.version_of(engine, job)
-        cached = 0
-        if item.prompt_parts:
-            found = self.prefixes.cached_tokens(job.model, item.prompt_parts)
-            held_version, tokens = found.get(engine.incarnation, (version, 0))
-            cached = min(tokens, item.prompt_tokens) if held_version == version else 0
-            memory_tokens = self.memory_tokens(engine.service) or DEFAULT_MEMORY_TOKENS
-            free = max(0, memory_tokens - usage.expected_tokens)
-            self.prefixes.add(engine.incarnation, job.model, version, item.prompt_parts, free)
-        self.read_tokens[job.job_id, item.item_id] = item.prompt_tokens - cached
-        return cached
-
     # Running one item
 
     async def run_item(
@@ -700,13 +613,7 @@
 
     def forget(self, incarnations: set[str]) -> None:
         """Drop state of engines that are not among the given incarnations."""
-        for incarnation in [known for known in self.usages if known not in incarnations]:
-            if not self.usages[incarnation].in_flight:
-                del self.usages[incarnation]
-        for incarnation in [known for known in self.loads if known not in incarnations]:
-            del self.loads[incarnation]
-        for incarnation in [known for known in self.prefixes.engines if known not in incarnations]:
-            self.prefixes.forget(incarnation)
+        self.pool.forget(incarnations)
 
     def stop(self) -> None:
         """Cancel all runs; the next leader runs the items without a result again."""
@@ -716,19 +623,10 @@
                 run.task.cancel()
         self.waiting.clear()
         self.seen_at.clear()
-        self.prefixes.clear()
         self.read_tokens.clear()
-        self.engines.clear()
-        self.ready_engines.clear()
-        for usage in self.usages.values():
-            usage.pace.forget()
+        self.pool.reset()
 
 
 def demand_of(job: Job, item: Item) -> Demand:
     """Return what an item of a job needs of an engine."""
     return Demand(job.model, job.min_version, expected_memory(item))
-
-
-def services_of(route: Route) -> frozenset[str]:
-    """Return the services of a route that get requests."""
-    return frozenset(backend.service for backend in route.backends if backend.weight > 0)
--- a/src/apricotvale/engines/speed.py
+++ b/src/apricotvale/engines/speed.py
@@ -27,8 +27,10 @@
 # to one engine in 2,000 such spans. Otherwise the engine's speed itself has changed.
 SHIFT_BINS = 10
 SHIFT_RATIO = 1.5
+# The gaps of so many bins are not all from one slow period.
 SETTLED_BINS = 4
-# Slow periods are 2.5 times slower and last for 3 bins. What is slower for longer is no such period.
+# Slow periods are 2.5 times slower and last for 3 bins. Gaps that are longer for more bins are not
+# due to such a period.
 STALL_BINS = 4
 STALL_RATIO = 3.2
 # An older estimate counts as unknown.
@@ -158,12 +160,14 @@
         self.bins.append(self.bin_value())
         if len(self.bins) > STALL_BINS and self.seconds_per_event:
             recent = list(self.bins)[-SHIFT_BINS:]
-            is_long = len(recent) == SHIFT_BINS
+            low, high = min(recent), max(recent)
+            is_shift = (
+                low > self.seconds_per_event * SHIFT_RATIO
+                or high * SHIFT_RATIO < self.seconds_per_event
+            )
             if min(recent[-STALL_BINS:]) > self.seconds_per_event * STALL_RATIO:
                 self.bins = deque(recent[-STALL_BINS:], maxlen=MAX_BINS)
-            elif is_long and min(recent) > self.seconds_per_event * SHIFT_RATIO:
-                self.bins = deque(recent, maxlen=MAX_BINS)
-            elif is_long and max(recent) * SHIFT_RATIO < self.seconds_per_event:
+            elif len(recent) == SHIFT_BINS and is_shift:
                 self.bins = deque(recent, maxlen=MAX_BINS)
             else:
                 runs = self.bin_run_events / self.bin_events
--- a/tests/test_placement_under_load.py
+++ b/tests/test_placement_under_load.py
@@ -434,26 +434,35 @@
 def test_speed_and_prompts_are_forgotten_with_the_incarnation(runner):
     """An engine that restarts under its id starts empty, and may have another speed."""
     runner.tick(10.0)
-    assert runner.prefixes.cached_tokens("m", PARTS) == {"e-1@1": (1, 1_000)}
+    assert runner.pool.prefixes.cached_tokens("m", PARTS) == {"e-1@1": (1, 1_000)}
     runner.usages["e-1@1"].pace.add(0.1, 1, 1, 10.0)
     runner.usages["e-1@1"].in_flight = 0
     restarted = make_engine("e-1", born_ms=2)
     announce(runner, restarted)
     runner.forget({"e-1@2", "e-2@1"})
-    assert runner.prefixes.cached_tokens("m", PARTS) == {}
-    assert restarted in runner.engines_of(frozenset({"lm"}), 11.0)
+    assert runner.pool.prefixes.cached_tokens("m", PARTS) == {}
+    assert restarted in runner.engines_of(ROUTE, 11.0).engines
     assert not runner.usages["e-1@2"].pace.seconds_per_event
     assert runner.usages["e-1@2"].slots(6, 11.5) == 3
     assert runner.usages["e-2@1"].slots(6, 11.5) == 6
 
 
+def test_engines_that_are_forgotten_too_early_are_known_again(runner):
+    """The list of engines is kept until the registry changes, so it may name a forgotten one."""
+    assert len(runner.engines_of(ROUTE, 10.0).engines) == 2
+    runner.forget(set())
+    assert len(runner.engines_of(ROUTE, 10.1).engines) == 2
+    assert runner.usages.keys() == {"e-1@1", "e-2@1"}
+    assert runner.usages["e-1@1"].slots(6, 10.2) == 6
+
+
 def test_a_former_leader_forgets_speeds_and_prompts(runner):
     """What it knew is out of date when it leads again."""
     runner.tick(10.0)
     runner.usages["e-1@1"].pace.add(0.1, 1, 1, 10.0)
     runner.stop()
     assert not runner.usages["e-1@1"].pace.seconds_per_event
-    assert runner.prefixes.cached_tokens("m", PARTS) == {}
+    assert runner.pool.prefixes.cached_tokens("m", PARTS) == {}
 
 
 def test_engines_are_told_the_urgency_if_routes_differ(runner):
