--- a/tests/test_placement_under_load.py
+++ b/tests/test_placement_under_load.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 
 import pytest
 from attrs import define, evolve, field
@@ -64,16 +65,7 @@
         self.speed_of = {e.incarnation: s for e, s in zip(self.engines, self.speeds, strict=True)}
         self.usages = {e.incarnation: EngineUsage(pace=EngineSpeed(service)) for e in self.engines}
         self.spells, self.waiting, self.runs, self.events = {}, [], {}, []
-        self.counter = itertools.count()
-
-    def gap(self, name):
-        """Return the time of an engine's next event."""
-        spell = (name, int(self.now / SPELL_S))
-        if spell not in self.spells:
-            self.spells[spell] = self.has_spells and self.random.random() < SPELL_SHARE
-        others = self.usages[name].in_flight - 1
-        factor = SPELL_FACTOR if self.spells[spell] else 1.0
-        return EVENT_S * factor * (1 + 0.04 * others) / self.speed_of[name]
+        self.counter, self.moving = itertools.count(), set()
 
     def run(self, until):
         passes = 0
@@ -95,19 +87,23 @@
         usage = self.usages[engine.incarnation]
         usage.pace.add(self.now - began_at, 1, usage.in_flight, self.now)
         item[1] -= TOKENS
-        wants_move = item[1] > 0 and len(item) > 3
-        if item[1] <= 0 or wants_move:
-            usage.end(demand)
-            del self.runs[key]
-            if wants_move:
-                self.waiting.append(item[:3])
-            else:
-                self.done[key] = self.now
+        if item[1] > 0 and key not in self.moving:
+            self.start_event(key, engine.incarnation)
             return
-        self.start_event(key, engine)
-
-    def start_event(self, key, engine):
-        gap = self.gap(engine.incarnation)
+        usage.end(demand)
+        del self.runs[key]
+        if item[1] > 0:
+            self.moving.remove(key)
+            self.waiting.append(item)
+        else:
+            self.done[key] = self.now
+
+    def start_event(self, key, name):
+        spell = (name, int(self.now / SPELL_S))
+        if spell not in self.spells:
+            self.spells[spell] = self.has_spells and self.random.random() < SPELL_SHARE
+        gap = EVENT_S * (SPELL_FACTOR if self.spells[spell] else 1.0) / self.speed_of[name]
+        gap *= 1 + 0.04 * (self.usages[name].in_flight - 1)
         heapq.heappush(self.events, (self.now + gap, next(self.counter), key, self.now))
 
     def place(self):
@@ -125,20 +121,20 @@
             self.waiting.remove(item)
             self.usages[engine.incarnation].begin(demand)
             self.runs[item[2]] = (engine, demand, item)
-            self.start_event(item[2], engine)
+            self.start_event(item[2], engine.incarnation)
 
     def move(self):
-        speeds, targets = speed_range(self.usages), {}
+        speeds, targets = speed_range(self.usages), Counter()
         for engine, _, item in self.runs.values():
-            if not may_be_left(engine, self.usages, speeds):
+            if item[2] in self.moving or not may_be_left(engine, self.usages, speeds):
                 continue
             demand = Demand("m", 1, item[1], item[1], 600, item[0])
             other = choose_engine(self.engines, self.usages, {}, demand, self.now)
-            if other is None or len(item) > 3 or targets.get(other.incarnation, 0) >= 2:
+            if other is None or targets[other.incarnation] >= 2:
                 continue
             if should_move(engine, other, self.usages, demand, self.now, speeds):
-                targets[other.incarnation] = targets.get(other.incarnation, 0) + 1
-                item.append("move")
+                targets[other.incarnation] += 1
+                self.moving.add(item[2])
                 self.moves += 1
 
 
