--- a/src/apricotvale/daemons/capacity.py
+++ b/src/apricotvale/daemons/capacity.py
@@ -123,7 +123,7 @@
 
     def activity(self, services: Services, pool: Contention, now: float) -> Activity:
         """Return what has been started of a pool's jobs, and the slots of its ready engines."""
-        paces = [usage.pace.seconds_per_token for usage in self.usages.values()]
+        paces = [usage.pace.seconds_per_event for usage in self.usages.values()]
         paces = [pace for pace in paces if pace]
         event_s = sum(paces) / len(paces) if paces else 0.0
         generated_s: dict[ItemKey, float | None] = {}
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -6,19 +6,21 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
-from attrs import define
+from attrs import define, evolve
 
 from apricotvale import clock, events, metrics
-from apricotvale.customers.access import upstream_customer
+from apricotvale.customers.access import upstream_customer, urgency
 from apricotvale.daemons.capacity import CapacityPlanner
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.runtime import TaskGroup
-from apricotvale.discovery import Upstream
+from apricotvale.discovery import Standing, Upstream
+from apricotvale.engines.pool import EnginePool, ServiceEngines, services_of
+from apricotvale.engines.priority import run_priority, service_priorities, urgency_class
 from apricotvale.exceptions import TruncatedStreamError
 from apricotvale.fleet import commands as c
 from apricotvale.fleet.state import FleetState
 from apricotvale.jobs import Item, ItemState, Job, Progress, Result, RewardCall
-from apricotvale.jobs.placement import Demand, EngineUsage, choose_engine, should_move
+from apricotvale.jobs.placement import Demand, EngineUsage, may_be_left, should_move
 from apricotvale.jobs.scheduling import (
     WaitingItem,
     expected_length,
@@ -67,6 +69,9 @@
     :param move_requested: whether to stop the run so that it resumes on a faster engine.
     :param saved_events: events of the output that are in the replicated state.
     :param was_interrupted: whether the output consists of several runs.
+    :param slack_s: the item's latest start minus the start of the run.
+    :param is_spare: whether the trainer waits for other groups than the item's.
+    :param read_tokens: tokens of the prompt that the engine had not cached.
     """
 
     job: Job
@@ -79,6 +84,9 @@
     move_requested: bool = False
     saved_events: int = 0
     was_interrupted: bool = False
+    slack_s: float = 0.0
+    is_spare: bool = False
+    read_tokens: int = 0
     task: asyncio.Task[None] | None = None
 
 
@@ -94,6 +102,7 @@
     `run_pace` is the time of complete runs for each expected token of their output.
     `runs` holds the items that run now and `waiting` those whose run was interrupted, both by job
     id and item id. `seen_at` holds the time at which this replica first saw each job.
+    `read_tokens` holds the prompt tokens that the engine of an item that starts has not cached.
     """
 
     def __init__(
@@ -110,8 +119,9 @@
         self.commit = commit
         self.version_field = version_field
         self.table: RouteTable | None = None
-        self.usages: dict[str, EngineUsage] = {}
-        self.loads: dict[str, EngineLoads] = {}
+        self.pool = EnginePool()
+        self.usages = self.pool.usages
+        self.loads = self.pool.loads
         self.runs: dict[tuple[str, str], ItemRun] = {}
         self.waiting: dict[tuple[str, str], ItemRun] = {}
         self.rewards_in_flight: Counter[str] = Counter()
@@ -119,6 +129,9 @@
         self.seen_at: dict[str, float] = {}
         self.next_move_at = 0.0
         self.run_pace = Pace()
+        self.run_time = Pace()
+        self.read_tokens: dict[tuple[str, str], int] = {}
+        self.priorities: tuple[RouteTable | None, dict[str, list[int]]] = (None, {})
         self.capacity = CapacityPlanner(
             self.state, self.runs, self.waiting, self.usages, self.seen_at, self.seconds_per_token
         )
@@ -197,6 +210,8 @@
                 continue
             run = self.waiting.pop(key, None) or self.create_run(job, item)
             run.engine, run.started_at, run.move_requested = engine, now, False
+            run.slack_s, run.is_spare = candidate.latest_start - now, candidate.is_spare
+            run.read_tokens = self.read_tokens.pop(key, 0)
             self.runs[key] = run
             usage = self.usages.setdefault(engine.incarnation, EngineUsage())
             usage.begin(demand)
@@ -219,21 +234,61 @@
         return waiting
 
     def move_runs(self, now: float) -> None:
-        """Request moves of runs on slow engines to much faster engines with free slots."""
+        """Request moves of runs that are expected to end sooner, or in time, on another engine."""
         if self.table is None:
             return
+        upstreams = self.state.registry.state.upstreams
         moved: Counter[str] = Counter()
         for run in self.runs.values():
-            if run.engine is None or run.move_requested or now < run.started_at + MOVE_MIN_AGE_S:
+            if run.engine is None or run.move_requested:
                 continue
+            engine = upstreams.get(run.engine.upstream_id)
+            if engine is None or engine.incarnation != run.engine.incarnation:
+                engine = run.engine
             route = self.table.match(run.job.host, run.job.path)
-            other = self.find_engine(route, run.job, run.item, now) if route else None
-            if other is None or not should_move(run.engine, other, self.usages):
+            if route is None:
                 continue
-            if moved[other.incarnation] < MAX_MOVES_PER_ENGINE:
+            is_leaving = engine.standing is Standing.DRAINING
+            speeds = self.engines_of(route, now).speeds
+            if not is_leaving and (
+                now < run.started_at + MOVE_MIN_AGE_S
+                or not may_be_left(engine, self.usages, speeds)
+            ):
+                continue
+            demand = self.remaining_demand(route, run)
+            other = self.find_engine(route, run.job, run.item, now, demand)
+            if other is None:
+                continue
+            version = self.pool.version_of(other, run.job.model)
+            if route.single_version and version != run.transcript.version:
+                demand = self.demand_of(route, run.job, run.item)
+            if not should_move(engine, other, self.usages, demand, now, speeds):
+                continue
+            usage = self.usages[other.incarnation]
+            free = other.capacity - usage.in_flight
+            limit = free if is_leaving else min(free, MAX_MOVES_PER_ENGINE)
+            if moved[other.incarnation] < limit:
                 moved[other.incarnation] += 1
                 run.move_requested = True
 
+    def remaining_demand(self, route: Route, run: ItemRun) -> Demand:
+        """Return what the rest of a run needs, if its output so far is kept.
+
+        An output that is longer than expected is expected to become twice as long as it is.
+        """
+        demand = self.demand_of(route, run.job, run.item)
+        service = next(iter(services_of(route)), "")
+        event_tokens = self.pool.speed_of(service).tokens_per_event
+        generated = round(len(run.transcript.data) * event_tokens)
+        limit = run.item.tokens - run.item.prompt_tokens
+        expected = demand.output_tokens if demand.output_tokens > generated else 2 * generated
+        left = min(expected, limit) - generated if limit > 0 else expected - generated
+        return evolve(
+            demand,
+            output_tokens=max(1, left),
+            prompt_tokens=demand.prompt_tokens + generated,
+        )
+
     def create_run(self, job: Job, item: Item) -> ItemRun:
         """Create the run of an item, with the output that an earlier leader saved."""
         run = ItemRun(job, item, Transcript(self.version_field))
@@ -267,17 +322,55 @@
                 for run, event_count in saved:
                     run.saved_events = event_count
 
-    def find_engine(self, route: Route, job: Job, item: Item, now: float) -> Upstream | None:
-        """Return the engine for an item of a job, or None if no engine can take it."""
-        services = {backend.service for backend in route.backends if backend.weight > 0}
-        engines = [
-            upstream
-            for upstream in self.state.registry.state.upstreams.values()
-            if upstream.service in services and not self.forwarder.is_leaving(upstream)
-        ]
-        memory_tokens = min((self.memory_tokens(service) for service in services), default=0)
-        demand = demand_of(job, item)
-        return choose_engine(engines, self.usages, self.loads, demand, now, memory_tokens)
+    def find_engine(
+        self,
+        route: Route,
+        job: Job,
+        item: Item,
+        now: float,
+        demand: Demand | None = None,
+        may_wait: bool = False,
+    ) -> Upstream | None:
+        """Return the engine for an item of a job, or None if no engine can take it.
+
+        :param demand: what the item still needs; by default the whole item.
+        :param may_wait: whether the item may wait for a faster engine.
+        """
+        found = self.engines_of(route, now)
+        memory_tokens = min((self.memory_tokens(name) for name in services_of(route)), default=0)
+        demand = demand or self.demand_of(route, job, item)
+        leaving = self.forwarder.view.leaving
+        return self.pool.choose(found, job, item, demand, now, memory_tokens, may_wait, leaving)
+
+    def engines_of(self, route: Route, now: float) -> ServiceEngines:
+        """Return the engines of a route's services."""
+        run_s = self.run_time.seconds_per_token
+        return self.pool.find(self.state.registry.state, services_of(route), now, run_s)
+
+    def demand_of(self, route: Route, job: Job, item: Item) -> Demand:
+        """Return what an item of a job needs of an engine."""
+        seen_at = self.seen_at.get(job.job_id)
+        due_at = float("inf")
+        if seen_at is not None and route.job_deadline_ms > 0:
+            due_at = seen_at + route.job_deadline_ms / 1000
+        return evolve(
+            demand_of(job, item),
+            output_tokens=expected_length(item),
+            prompt_tokens=item.prompt_tokens,
+            due_at=due_at,
+        )
+
+    def priority_of(self, route: Route, run: ItemRun) -> int | None:
+        """Return the urgency that the engine is told, None if all routes have the same."""
+        if self.priorities[0] is not self.table:
+            table = self.table
+            self.priorities = (table, service_priorities(table) if table else {})
+        if self.table is None:
+            return None
+        rank = urgency_class(
+            self.priorities[1], route, urgency(self.table, route, run.job.customer)
+        )
+        return None if rank is None else run_priority(run.slack_s, run.is_spare, rank)
 
     def memory_tokens(self, service: str) -> int:
         """Return the memory of a service's engines in tokens, 0 if it is unknown."""
@@ -285,17 +378,26 @@
         return found.engine.memory_tokens if found and found.engine else 0
 
     def select_engine(self, route: Route, job: Job, item: Item, now: float) -> Upstream | None:
-        """Return the engine for an item, or None, and log the choice."""
-        engine = self.find_engine(route, job, item, now)
+        """Return the engine for an item, or None, and log the choice.
+
+        The engine counts as having the item's prompt from now on, so that other items of the group
+        that start in the same pass find it there.
+        """
+        engine = self.find_engine(route, job, item, now, may_wait=True)
         if engine is not None:
-            usage = self.usages.get(engine.incarnation) or EngineUsage()
+            usage = self.usages[engine.incarnation]
+            memory_tokens = self.memory_tokens(engine.service)
+            cached = self.pool.record_prompt(engine, job, item, memory_tokens)
+            self.read_tokens[job.job_id, item.item_id] = item.prompt_tokens - cached
             events.emit(
                 events.ITEM_PLACED,
                 job=job.job_id,
                 item=item.item_id,
                 upstream=engine.incarnation,
                 in_flight=usage.in_flight,
-                pace_ms=round(usage.pace.seconds_per_token * 1000, 1),
+                pace_ms=round(usage.pace.seconds_per_event * 1000, 1),
+                pace_age_ms=round(min(usage.pace.age_s(now), 3600.0) * 1000),
+                cached_tokens=cached,
                 expected_tokens=item.expected_tokens,
                 registry=self.state.registry.state.position,
             )
@@ -339,8 +441,10 @@
             run.item.headers,
             run.transcript.last_event_id,
             upstream_customer(self.table, route, run.job.customer),
+            self.priority_of(route, run),
         )
         why = ""
+        sent_at = clock.now()
         try:
             if self.forwarder.is_leaving(engine):
                 return None
@@ -362,17 +466,19 @@
                     if route.single_version and run.transcript.versions != [stream.version]:
                         run.transcript.restart()
                         run.saved_events = 0
+                    self.record_read(run, usage, clock.now() - sent_at)
                     completed = await self.read_stream(run, stream, usage, engine)
                     usage.succeed()
                     if completed:
-                        self.record_pace(run)
+                        self.record_pace(run, usage)
                         return ItemState.COMPLETED
                     events.emit(
                         events.ITEM_MOVED,
                         job=run.job.job_id,
                         item=run.item.item_id,
                         upstream=engine.incarnation,
-                        pace_ms=round(usage.pace.seconds_per_token * 1000, 1),
+                        pace_ms=round(usage.pace.seconds_per_event * 1000, 1),
+                        pace_age_ms=round(usage.pace.age_s(clock.now()) * 1000),
                         last_event=run.transcript.last_event_id,
                     )
                     return None
@@ -417,12 +523,13 @@
                 return True
             event_count = run.transcript.feed(chunk)
             now = clock.now()
+            usage.trial_runs += bool(event_count and last_event_at is None)
             if (
                 event_count
                 and last_event_at is not None
                 and not is_loading(self.loads.get(engine.incarnation), now)
             ):
-                usage.pace.add(now - last_event_at, event_count)
+                usage.pace.add(now - last_event_at, event_count, usage.in_flight, now)
             last_event_at = now if event_count else last_event_at
         return False
 
@@ -446,11 +553,25 @@
             return ItemState.FAILED
         return None
 
-    def record_pace(self, run: ItemRun) -> None:
+    def record_pace(self, run: ItemRun, usage: EngineUsage) -> None:
         """Record the time of a run, unless it completed an output that another run began."""
+        if run.was_interrupted:
+            return
+        seconds = clock.now() - run.started_at
+        self.run_time.add(seconds, 1)
         length = expected_length(run.item)
-        if length and not run.was_interrupted:
-            self.run_pace.add(clock.now() - run.started_at, length)
+        if length:
+            self.run_pace.add(seconds, length)
+        if run.item.expected_tokens:
+            usage.pace.service.add_output(length, len(run.transcript.data))
+
+    def record_read(self, run: ItemRun, usage: EngineUsage, seconds: float) -> None:
+        """Record the time until a run's first event, which includes reading the prompt."""
+        speed = usage.pace
+        if run.was_interrupted or not speed.seconds_per_event:
+            return
+        event_s = speed.expected_seconds(speed.service.tokens_per_event, usage.in_flight)
+        speed.service.add_read(run.read_tokens, seconds - event_s)
 
     def record_version(self, engine: Upstream, model: str, version: int) -> None:
         """Record the weight version that an engine reported."""
@@ -536,11 +657,7 @@
 
     def forget(self, incarnations: set[str]) -> None:
         """Drop state of engines that are not among the given incarnations."""
-        for incarnation in [known for known in self.usages if known not in incarnations]:
-            if not self.usages[incarnation].in_flight:
-                del self.usages[incarnation]
-        for incarnation in [known for known in self.loads if known not in incarnations]:
-            del self.loads[incarnation]
+        self.pool.forget(incarnations)
 
     def stop(self) -> None:
         """Cancel all runs; the next leader runs the items without a result again."""
@@ -551,6 +668,8 @@
         self.waiting.clear()
         self.seen_at.clear()
         self.capacity.clear()
+        self.read_tokens.clear()
+        self.pool.reset()
 
 
 def demand_of(job: Job, item: Item) -> Demand:
--- a/src/apricotvale/platform/names.py
+++ b/src/apricotvale/platform/names.py
@@ -20,6 +20,10 @@
 LENGTH_HINT = "Length-Hint"
 # Two numbers: the tokens of the prompt, and the maximum of the output.
 TOKEN_USAGE = "Token-Usage"
+# The parts of an item's prompt in their order: `ID:TOKENS,ID:TOKENS`, with hexadecimal ids.
+PROMPT_PREFIX = "Prompt-Prefix"
+# Urgency of a run for the engine, from 0 (first) to 9.
+REQUEST_PRIORITY = "Request-Priority"
 
 # Identifies the customer that sends a request; never forwarded.
 API_KEY = "X-Api-Key"
--- a/src/apricotvale/requests/calls.py
+++ b/src/apricotvale/requests/calls.py
@@ -58,6 +58,7 @@
 
     :param resume_after: id of the last event received; the stream resumes after it.
     :param customer: as in `Call`.
+    :param priority: urgency from 0 (first) to 9 that the engine is told; None sends none.
     """
 
     target: str
@@ -67,6 +68,7 @@
     headers: dict[str, str] = field(factory=dict)
     resume_after: int | None = None
     customer: str | None = None
+    priority: int | None = None
 
 
 class RunStream(Protocol):
