Let reward calls use all but one slot of each plain upstream

Ruled out: engines (66 of 66 slots taken), commits, the leader's processor (0.15 cores).

Reward calls leave one slot of each upstream to callers, and half of all slots while requests are refused. They are ordered by due time, those of wanted groups first.

--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -12,6 +12,7 @@
 from apricotvale.customers.access import upstream_customer, urgency
 from apricotvale.daemons.capacity import CapacityPlanner
 from apricotvale.daemons.forwarder import Forwarder
+from apricotvale.daemons.reward_slots import Order, RewardSlots, reward_limit
 from apricotvale.daemons.runtime import TaskGroup
 from apricotvale.discovery import Standing, Upstream
 from apricotvale.engines.pool import EnginePool, ServiceEngines, services_of
@@ -52,10 +53,6 @@
 MAX_MOVES_PER_ENGINE = 2
 MOVE_INTERVAL_S = 0.1
 REWARD_TIMEOUT_S = 3.0
-# Share of a service's slots that reward calls may use; the rest is left for waiting callers.
-MAX_REWARD_SHARE = 0.5
-# Their share while upstreams of the service refuse requests because their slots are taken.
-MAX_REWARD_SHARE_WHILE_FULL = 0.25
 UNPROCESSABLE_STATUS = 422
 SERVER_ERROR_STATUS = 500
 
@@ -124,8 +121,7 @@
         self.loads = self.pool.loads
         self.runs: dict[tuple[str, str], ItemRun] = {}
         self.waiting: dict[tuple[str, str], ItemRun] = {}
-        self.rewards_in_flight: Counter[str] = Counter()
-        self.reward_slot_freed = asyncio.Event()
+        self.rewards = RewardSlots(self.reward_limit)
         self.seen_at: dict[str, float] = {}
         self.next_move_at = 0.0
         self.run_pace = Pace()
@@ -152,6 +148,7 @@
         self.start_items(self.find_waiting(records, now), now)
         if now >= self.next_move_at:
             self.next_move_at = now + MOVE_INTERVAL_S
+            self.rewards.grant_all()
             self.move_runs(now)
 
     def find_waiting(self, records: list[JobRecord], now: float) -> list[WaitingItem]:
@@ -585,7 +582,7 @@
         while True:
             route = self.table.match(reward.host, reward.path) if self.table else None
             if route is not None:
-                answer = await self.call_reward(route, reward, run.job.customer)
+                answer = await self.call_reward(route, reward, run)
                 if isinstance(answer, Answer) and 200 <= answer.status < 300 and answer.signature:
                     return answer.signature
                 if isinstance(answer, Answer):
@@ -602,16 +599,10 @@
                     return ""
             await asyncio.sleep(REWARD_RETRY_S)
 
-    async def call_reward(
-        self, route: Route, reward: RewardCall, customer: str
-    ) -> Answer | Refusal:
+    async def call_reward(self, route: Route, reward: RewardCall, run: ItemRun) -> Answer | Refusal:
         """Send a reward call once the service has a slot for it."""
         service = route.backends[0].service
-        while self.rewards_in_flight[service] >= self.reward_limit(service):
-            self.reward_slot_freed.clear()
-            await self.reward_slot_freed.wait()
-        self.rewards_in_flight[service] += 1
-        try:
+        async with self.rewards.hold(service, self.reward_order(run)):
             timeout_s = min(REWARD_TIMEOUT_S, route.timeout_ms / 1000)
             call = Call(
                 "POST",
@@ -620,18 +611,20 @@
                 reward.request_id,
                 reward.body,
                 clock.now() + timeout_s,
-                customer=upstream_customer(self.table, route, customer),
+                customer=upstream_customer(self.table, route, run.job.customer),
             )
             return await self.forwarder.forward(route, call)
-        finally:
-            self.rewards_in_flight[service] -= 1
-            self.reward_slot_freed.set()
+
+    def reward_order(self, run: ItemRun) -> Order:
+        """Return the place of an item's reward call among those that wait for a slot."""
+        route = self.table.match(run.job.host, run.job.path) if self.table else None
+        deadline_ms = route.job_deadline_ms if route else 0.0
+        return run.is_spare, self.seen_at.get(run.job.job_id, 0.0) + deadline_ms / 1000
 
     def reward_limit(self, service: str) -> int:
         """Return how many reward calls may be in flight at a service."""
-        slots = sum(upstream.capacity for upstream in self.forwarder.view.ready(service))
-        full = self.forwarder.refused_recently(service, clock.now())
-        return max(1, int(slots * (MAX_REWARD_SHARE_WHILE_FULL if full else MAX_REWARD_SHARE)))
+        is_short = self.forwarder.refused_recently(service, clock.now())
+        return reward_limit(self.forwarder.view.ready(service), is_short)
 
     async def commit_result(self, run: ItemRun, state: ItemState, score: str) -> None:
         """Commit an item's result; if leadership was lost, another leader runs the item again."""
