Plan for the reward calls' capacity, and score groups that can be complete first

Ruled out: refusals (none), second copies (none from then on).

The order among waiting reward calls is evaluated at each grant: groups that can still be in time, then those with the fewest items left. While reward calls are scarcer than engine slots, groups count with what they take of the reward service's time.

--- a/src/apricotvale/daemons/capacity.py
+++ b/src/apricotvale/daemons/capacity.py
@@ -38,6 +38,7 @@
     :param runs: the items that run or wait for their reward call; `waiting` those interrupted.
     :param seen_at: when this leader first saw each job.
     :param pace: returns the time of a run for each expected token of its output.
+    :param reward_rate: returns how many reward calls can be answered in a second.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         usages: Mapping[str, EngineUsage],
         seen_at: Mapping[str, float],
         pace: Callable[[], float],
+        reward_rate: Callable[[], float],
     ) -> None:
         self.state = state
         self.runs = runs
@@ -55,6 +57,7 @@
         self.usages = usages
         self.seen_at = seen_at
         self.pace = pace
+        self.reward_rate = reward_rate
         self.table: RouteTable | None = None
         self.pools: dict[Services, Contention] = {}
         self.services_of: dict[str, Services] = {}
@@ -144,7 +147,14 @@
                 continue
             running.add(key)
             generated_s[key] = max(now - run.started_at, len(run.transcript.data) * event_s)
-        return Activity(generated_s, running, self.slots(services), self.pace())
+        slots = self.slots(services)
+        return Activity(generated_s, running, slots, self.pace(), self.reward_rate())
+
+    def unfinished_items(self, job_id: str, group: str) -> int:
+        """Return how many items of a group have no result yet, 0 for an unknown group."""
+        services = self.services_of.get(job_id)
+        opened = self.pools[services].jobs[job_id].groups.get(group) if services else None
+        return len(opened.items) if opened else 0
 
     def slots(self, services: Services) -> int:
         """Return the slots of the ready engines of services."""
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from attrs import define, evolve
 
@@ -22,6 +23,7 @@
 from apricotvale.fleet.state import FleetState
 from apricotvale.jobs import Item, ItemState, Job, Progress, Result, RewardCall
 from apricotvale.jobs.placement import Demand, EngineUsage, may_be_left, should_move
+from apricotvale.jobs.planning import LATE_S
 from apricotvale.jobs.scheduling import (
     WaitingItem,
     expected_length,
@@ -121,15 +123,21 @@
         self.loads = self.pool.loads
         self.runs: dict[tuple[str, str], ItemRun] = {}
         self.waiting: dict[tuple[str, str], ItemRun] = {}
-        self.rewards = RewardSlots(self.reward_limit)
         self.seen_at: dict[str, float] = {}
         self.next_move_at = 0.0
         self.run_pace = Pace()
         self.run_time = Pace()
         self.read_tokens: dict[tuple[str, str], int] = {}
         self.priorities: tuple[RouteTable | None, dict[str, list[int]]] = (None, {})
+        self.rewards = RewardSlots(self.reward_limit)
         self.capacity = CapacityPlanner(
-            self.state, self.runs, self.waiting, self.usages, self.seen_at, self.seconds_per_token
+            self.state,
+            self.runs,
+            self.waiting,
+            self.usages,
+            self.seen_at,
+            self.seconds_per_token,
+            self.rewards.rate,
         )
         self.tasks = TaskGroup()
 
@@ -602,7 +610,7 @@
     async def call_reward(self, route: Route, reward: RewardCall, run: ItemRun) -> Answer | Refusal:
         """Send a reward call once the service has a slot for it."""
         service = route.backends[0].service
-        async with self.rewards.hold(service, self.reward_order(run)):
+        async with self.rewards.hold(service, partial(self.reward_order, run)):
             timeout_s = min(REWARD_TIMEOUT_S, route.timeout_ms / 1000)
             call = Call(
                 "POST",
@@ -616,10 +624,17 @@
             return await self.forwarder.forward(route, call)
 
     def reward_order(self, run: ItemRun) -> Order:
-        """Return the place of an item's reward call among those that wait for a slot."""
+        """Return the place of an item's reward call among those that wait for a slot now.
+
+        Load pattern: more outputs are complete than can be scored. Groups that can still be in time
+        come first, those with the fewest items left before others, so that groups become complete.
+        """
         route = self.table.match(run.job.host, run.job.path) if self.table else None
-        deadline_ms = route.job_deadline_ms if route else 0.0
-        return run.is_spare, self.seen_at.get(run.job.job_id, 0.0) + deadline_ms / 1000
+        deadline_s = route.job_deadline_ms / 1000 if route else 0.0
+        due_at = self.seen_at.get(run.job.job_id, 0.0) + deadline_s
+        is_late = bool(deadline_s) and clock.now() > due_at + LATE_S
+        left = self.capacity.unfinished_items(run.job.job_id, run.item.group)
+        return is_late, run.is_spare, left, due_at
 
     def reward_limit(self, service: str) -> int:
         """Return how many reward calls may be in flight at a service."""
--- a/src/apricotvale/daemons/reward_slots.py
+++ b/src/apricotvale/daemons/reward_slots.py
@@ -3,21 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 
 from attrs import define, field
 
+from apricotvale import clock
 from apricotvale.discovery import Upstream
+from apricotvale.requests.routing import Pace
 
 # While requests at the service are refused for lack of a slot, callers need more than one slot of
 # each upstream.
 MAX_SHARE_WHILE_FULL = 0.5
 
-# Reward calls of groups that the trainer waits for come first, then those that are due first.
-Order = tuple[bool, float]
+# Sort key of a reward call: whether its group is late, whether the trainer waits for other groups,
+# the items that its group still needs, and when they are due.
+Order = tuple[bool, bool, int, float]
 
 
 def reward_limit(upstreams: Sequence[Upstream], is_short: bool) -> int:
@@ -37,26 +39,34 @@
 
 @define
 class RewardSlots:
-    """Reward calls that wait for a slot, and the number of those in flight, by service.
+    """Reward calls that wait for a slot, and those in flight, by service.
+
+    The order of the waiting calls is evaluated whenever a slot becomes free, since groups become
+    late or nearly complete while they wait.
 
     :param limit: returns how many calls may be in flight at a service now.
+    :param times: time that calls to a service take.
     """
 
     limit: Callable[[str], int]
     in_flight: Counter[str] = field(factory=Counter)
-    waiting: dict[str, list[tuple[Order, int, asyncio.Future[None]]]] = field(factory=dict)
-    tickets: int = 0
+    waiting: dict[str, list[tuple[Callable[[], Order], asyncio.Future[None]]]] = field(factory=dict)
+    times: dict[str, Pace] = field(factory=dict)
 
     @asynccontextmanager
-    async def hold(self, service: str, order: Order) -> AsyncIterator[None]:
-        """Wait for a slot and hold it while the context is open."""
+    async def hold(self, service: str, order: Callable[[], Order]) -> AsyncIterator[None]:
+        """Wait for a slot and hold it while the context is open.
+
+        :param order: returns the place of the call among those that wait.
+        """
         granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.tickets += 1
-        heapq.heappush(self.waiting.setdefault(service, []), (order, self.tickets, granted))
+        self.waiting.setdefault(service, []).append((order, granted))
         self.grant(service)
         try:
             await granted
+            started_at = clock.now()
             yield
+            self.times.setdefault(service, Pace()).add(clock.now() - started_at, 1)
         finally:
             if granted.done() and not granted.cancelled():
                 self.in_flight[service] -= 1
@@ -64,9 +74,10 @@
 
     def grant(self, service: str) -> None:
         """Grant the free slots of a service to the calls that wait, in their order."""
-        queue = self.waiting.get(service)
+        queue = self.waiting.get(service, [])
         while queue and self.in_flight[service] < self.limit(service):
-            _, _, granted = heapq.heappop(queue)
+            position = min(range(len(queue)), key=lambda place: queue[place][0]())
+            _, granted = queue.pop(position)
             if not granted.done():
                 self.in_flight[service] += 1
                 granted.set_result(None)
@@ -75,3 +86,15 @@
         """Grant slots that became free without the end of a reward call."""
         for service in self.waiting:
             self.grant(service)
+
+    def rate(self) -> float:
+        """Return how many reward calls can be answered in a second, infinite if it is unknown.
+
+        Of several services, the slowest counts.
+        """
+        rates = [
+            self.limit(service) / pace.seconds_per_token
+            for service, pace in self.times.items()
+            if pace.seconds_per_token
+        ]
+        return min(rates, default=float("inf"))
--- a/src/apricotvale/jobs/backlog.py
+++ b/src/apricotvale/jobs/backlog.py
@@ -38,6 +38,10 @@
     has_begun: bool = False
     has_failed: bool = False
 
+    def count_rewards(self) -> int:
+        """Return how many unfinished items have a reward call."""
+        return sum(waiting.item.reward is not None for _, waiting in self.items.values())
+
 
 class OpenJob:
     """The groups of a job that have unfinished items.
@@ -173,6 +177,7 @@
                     group.is_spare or job.needed <= 0,
                     group.is_repeated,
                     not group.has_failed,
+                    group.count_rewards(),
                 )
             )
     return works, running_s
--- a/src/apricotvale/jobs/contention.py
+++ b/src/apricotvale/jobs/contention.py
@@ -10,12 +10,14 @@
 from apricotvale.jobs import admission
 from apricotvale.jobs.backlog import ItemKey, OpenJob, group_work, plan_items
 from apricotvale.jobs.planning import (
+    NORMAL_RATIO,
     GroupWork,
     Overload,
     PlannedGroup,
     Prospect,
     Room,
     overload_ratio,
+    reward_ratio,
 )
 from apricotvale.jobs.scheduling import WaitingItem
 from apricotvale.jobs.shares import Shares
@@ -31,12 +33,14 @@
     :param generated_s: seconds for which items have run; None if only the reward call is missing.
     :param running: the items that occupy a slot.
     :param slots: slots of the ready engines.
+    :param rewards_per_s: reward calls that their services can answer, infinite if unknown.
     """
 
     generated_s: Mapping[ItemKey, float | None]
     running: Collection[ItemKey]
     slots: int
     seconds_per_token: float
+    rewards_per_s: float = float("inf")
 
 
 @define
@@ -74,7 +78,10 @@
             return False
         self.next_plan_at = now + PLAN_INTERVAL_S
         works, room = self.measure(activity)
-        self.ratio = overload_ratio(works, room, now)
+        engine_ratio = overload_ratio(works, room, now)
+        self.ratio = max(engine_ratio, reward_ratio(works, room, now))
+        if self.ratio > max(engine_ratio, NORMAL_RATIO):
+            count_rewards_as_work(works, room)
         changed = self.overload.update(self.ratio, now)
         self.order, self.plan = None, []
         if self.overload.is_active:
@@ -93,7 +100,7 @@
         works, running_s = group_work(
             self.jobs.values(), activity.generated_s, activity.running, activity.seconds_per_token
         )
-        return works, Room(activity.slots, tuple(running_s))
+        return works, Room(activity.slots, tuple(running_s), activity.rewards_per_s)
 
     def newly_postponed(self) -> list[PlannedGroup]:
         """Return the wanted groups that the plan postpones, once for each group and prospect."""
@@ -135,3 +142,16 @@
         """Drop a job that is no longer open."""
         del self.jobs[job_id]
         self.reported = {key for key in self.reported if key[0] != job_id}
+
+
+def count_rewards_as_work(works: list[GroupWork], room: Room) -> None:
+    """Raise the work of each group to what its reward calls take of their services' time.
+
+    The plan knows one resource, the slots of the engines. While reward calls are the scarcer one, a
+    call counts as the share of all slots for the time between two calls, so that the plan selects
+    as many groups as can also be scored in time.
+    """
+    seconds_per_call = room.slots / room.rewards_per_s
+    for work in works:
+        work.work_s = max(work.work_s, work.reward_calls * seconds_per_call)
+        work.waiting_s = max(work.waiting_s, work.reward_calls * seconds_per_call)
--- a/src/apricotvale/jobs/planning.py
+++ b/src/apricotvale/jobs/planning.py
@@ -8,7 +8,7 @@
 
 import heapq
 from bisect import bisect_left
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from enum import IntEnum
 
 from attrs import define, field, frozen
@@ -55,6 +55,7 @@
     :param is_spare: whether the trainer waits for other groups unless those cannot be in time.
     :param is_repeated: whether an earlier job had the group; the trainer waits for it in any case.
     :param can_complete: False if an item has failed.
+    :param reward_calls: reward calls that the unfinished items still need.
     """
 
     job_id: str
@@ -70,6 +71,7 @@
     is_spare: bool = False
     is_repeated: bool = False
     can_complete: bool = True
+    reward_calls: int = 0
 
     @property
     def in_time_until(self) -> float:
@@ -83,10 +85,12 @@
 
     :param slots: slots of the ready engines.
     :param running_s: expected remaining seconds of each running item.
+    :param rewards_per_s: reward calls that their services can answer, infinite if unknown.
     """
 
     slots: int
     running_s: tuple[float, ...] = ()
+    rewards_per_s: float = float("inf")
 
 
 @frozen
@@ -106,16 +110,38 @@
 
     Load pattern: steps of all trainers arrive at once on half of the engines.
     """
-    if not room.slots:
+    return largest_ratio(groups, lambda group: group.work_s, room.slots, now)
+
+
+def reward_ratio(groups: Iterable[GroupWork], room: Room, now: float) -> float:
+    """Return the largest ratio of reward calls due to what their services can answer.
+
+    Load pattern: most upstreams of the service of the reward calls are taken away, so that complete
+    outputs wait for their calls while the engines go on.
+    """
+    return largest_ratio(groups, lambda group: group.reward_calls, room.rewards_per_s, now)
+
+
+def largest_ratio(
+    groups: Iterable[GroupWork],
+    work_of: Callable[[GroupWork], float],
+    capacity: float,
+    now: float,
+) -> float:
+    """Return the largest ratio of work due by a time to the capacity until then.
+
+    :param capacity: work done in a second; 0 gives the ratio 0, since nothing can be planned.
+    """
+    if not capacity:
         return 0.0
     work_by_due: dict[float, float] = {}
     for group in groups:
         if not group.is_spare and group.can_complete and group.give_up_at > now:
-            work_by_due[group.due_at] = work_by_due.get(group.due_at, 0.0) + group.work_s
+            work_by_due[group.due_at] = work_by_due.get(group.due_at, 0.0) + work_of(group)
     worst = total = 0.0
     for due_at in sorted(work_by_due):
         total += work_by_due[due_at]
-        worst = max(worst, total / (room.slots * max(MIN_HORIZON_S, due_at - now)))
+        worst = max(worst, total / (capacity * max(MIN_HORIZON_S, due_at - now)))
     return worst
 
 
