--- a/src/apricotvale/jobs/contention.py
+++ b/src/apricotvale/jobs/contention.py
@@ -9,16 +9,8 @@
 
 from apricotvale.jobs import admission
 from apricotvale.jobs.backlog import ItemKey, OpenJob, group_work, plan_items
-from apricotvale.jobs.planning import (
-    NORMAL_RATIO,
-    GroupWork,
-    Overload,
-    PlannedGroup,
-    Prospect,
-    Room,
-    overload_ratio,
-    reward_ratio,
-)
+from apricotvale.jobs.overload import NORMAL_RATIO, Overload, overload_ratio, reward_ratio
+from apricotvale.jobs.planning import GroupWork, PlannedGroup, Prospect, Room
 from apricotvale.jobs.scheduling import WaitingItem
 from apricotvale.jobs.shares import Shares
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -11,14 +11,13 @@
 
 from apricotvale.jobs import Item, ItemState, Job, Result
 from apricotvale.jobs.backlog import OpenJob, group_work, plan_items, remaining_seconds
+from apricotvale.jobs.overload import Overload, overload_ratio
 from apricotvale.jobs.planning import (
     LATE_S,
     GroupWork,
-    Overload,
     Prospect,
     Room,
     guaranteed_first,
-    overload_ratio,
     plan_groups,
 )
 from apricotvale.jobs.scheduling import sort_by_priority, waiting_items
--- a/tests/test_reward_slots.py
+++ b/tests/test_reward_slots.py
@@ -9,15 +9,8 @@
 from apricotvale.daemons.reward_slots import RewardSlots, reward_limit
 from apricotvale.discovery import Standing, Upstream
 from apricotvale.jobs.contention import count_rewards_as_work
-from apricotvale.jobs.planning import (
-    LATE_S,
-    GroupWork,
-    Prospect,
-    Room,
-    overload_ratio,
-    plan_groups,
-    reward_ratio,
-)
+from apricotvale.jobs.overload import overload_ratio, reward_ratio
+from apricotvale.jobs.planning import LATE_S, GroupWork, Prospect, Room, plan_groups
 
 
 def upstreams(count, capacity=6):
