Bound the last usage report of an entry also while another is under way

A periodic report that control does not answer holds the reporter's lock for its whole time limit, and the last report waited for it.

The limit now covers the wait for the lock, and counts that remain are logged.

--- a/src/apricotvale/daemons/usage_reporter.py
+++ b/src/apricotvale/daemons/usage_reporter.py
@@ -6,7 +6,7 @@
 import time
 import uuid
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 from attrs import define
 
@@ -173,8 +173,19 @@
         self.count_in_flight(clock.now())
         if self.counter.pending:
             self.counter.assign_pending(self.time)
+        if not self.counter.unconfirmed:
+            return
+        # A report that is still under way holds the lock for longer than the process may wait.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LAST_CALL_TIMEOUT_S):
+                await self.send(LAST_CALL_TIMEOUT_S)
         if self.counter.unconfirmed:
-            await self.send(LAST_CALL_TIMEOUT_S)
+            events.emit(
+                events.USAGE_LATE,
+                reporter=self.reporter,
+                windows=sorted(self.counter.unconfirmed),
+                why="control did not confirm the last counts before the process ended",
+            )
 
     def close(self) -> None:
         """Close the connections to control."""
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -486,6 +486,19 @@
     assert asyncio.get_running_loop().time() - started < fleet_entry.STOP_MARGIN_S + 0.5
 
 
+async def test_a_report_under_way_does_not_delay_the_end_of_an_entry(usage_site, monkeypatch):
+    """Guards against a last report that waits for an earlier one, which control does not answer."""
+    entry = usage_site.site.entry
+    for control in usage_site.controls:
+        monkeypatch.setattr(control, "stopping", True)
+    await usage_site.send(1)
+    async with entry.usage.lock:
+        started = asyncio.get_running_loop().time()
+        await entry.usage.send_last()
+        took_s = asyncio.get_running_loop().time() - started
+    assert took_s < fleet_entry.STOP_MARGIN_S + 0.5
+
+
 async def test_late_counts_are_not_reported(usage_site):
     """Guards against a second report of a closed window when a frozen entry resumes."""
     leader = usage_site.leader()
