--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from functools import partial
 
@@ -97,7 +97,7 @@
         if left_s <= 0:
             return not_run(Reason.DEADLINE_EXPIRED)
         headers = [
-            *call.headers,
+            *with_customer(call.headers, call.customer),
             ("Host", call.host),
             (names.REQUEST_ID, call.request_id),
             (names.DEADLINE_MS, str(max(1, int(left_s * 1000)))),
@@ -130,7 +130,7 @@
         of the stream closes the connection, and the engine then stops the run.
         """
         headers = {
-            **request.headers,
+            **dict(with_customer(request.headers.items(), request.customer)),
             "Host": request.host,
             names.REQUEST_ID: request.request_id,
             names.EXPECT_INSTANCE: upstream.upstream_id,
@@ -224,6 +224,19 @@
             )
 
 
+def with_customer(
+    headers: Iterable[tuple[str, str]], customer: str | None
+) -> list[tuple[str, str]]:
+    """Return header fields that name a customer and hold no key, as described in `Call.customer`.
+
+    What the caller sent in these fields is dropped, so that it cannot pose as another customer.
+    """
+    if customer is None:
+        return list(headers)
+    kept = [(name, value) for name, value in headers if name.lower() not in names.CUSTOMER_FIELDS]
+    return [*kept, (names.TENANT, customer)] if customer else kept
+
+
 def target_url(upstream: Upstream, target: str) -> URL:
     """Return the URL of a target at an upstream, without normalizing its path and query."""
     return URL(f"http://{upstream.address}{target}", encoded=True)
--- a/src/apricotvale/platform/names.py
+++ b/src/apricotvale/platform/names.py
@@ -19,6 +19,13 @@
 # Two numbers: the tokens of the prompt, and the maximum of the output.
 TOKEN_USAGE = "Token-Usage"
 
+# Identifies the customer that sends a request; never forwarded.
+API_KEY = "X-Api-Key"
+# Tells an upstream the customer's name.
+TENANT = "Tenant"
+# Header fields of callers that are removed before a customer's name is set.
+CUSTOMER_FIELDS = frozenset({API_KEY.lower(), TENANT.lower()})
+
 # Header fields that are not forwarded: hop-by-hop fields of HTTP and those set anew for each hop.
 HOP_BY_HOP = frozenset(
     {
--- a/src/apricotvale/requests/calls.py
+++ b/src/apricotvale/requests/calls.py
@@ -20,6 +20,8 @@
     :param target: path and query as received from the caller.
     :param headers: the caller's end-to-end header fields.
     :param deadline: on `clock.now`, in seconds; the remaining time is sent with the request.
+    :param customer: customer that the upstream is told; None leaves the header fields unchanged,
+        empty text removes those that name a customer or hold a key.
     """
 
     method: str
@@ -29,6 +31,7 @@
     body: bytes
     deadline: float
     headers: tuple[tuple[str, str], ...] = ()
+    customer: str | None = None
 
 
 @frozen
@@ -51,6 +54,7 @@
     """A request to generate one item as an event stream.
 
     :param resume_after: id of the last event received; the stream resumes after it.
+    :param customer: as in `Call`.
     """
 
     target: str
@@ -59,6 +63,7 @@
     body: bytes
     headers: dict[str, str] = field(factory=dict)
     resume_after: int | None = None
+    customer: str | None = None
 
 
 class RunStream(Protocol):
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import pytest
+from attrs import evolve
 
 from apricotvale import clock
 from apricotvale.discovery import Standing, Upstream
@@ -115,6 +116,27 @@
     assert len(standin.writers) == 1
 
 
+CLAIMED_FIELDS = (("Tenant", "other"), ("X-API-KEY", "key-1"), ("Tenant", "second"))
+
+
+@pytest.mark.parametrize(
+    ("customer", "tenant", "key"),
+    [("north", "north", None), ("", None, None), (None, "second", "key-1")],
+)
+async def test_the_customer_replaces_the_fields_of_the_caller(
+    client, standin, customer, tenant, key
+):
+    """A caller that sends the header field itself could pose as another customer."""
+    call = evolve(make_call(), customer=customer)
+    call = evolve(call, headers=(*call.headers, *CLAIMED_FIELDS))
+    assert (await client.call(make_upstream(standin), call)).status == 200
+    (request,) = standin.requests
+    assert (request.headers.get("tenant"), request.headers.get("x-api-key")) == (tenant, key)
+    assert request.headers["x-own"] == "kept"
+    expected_fields = {"north": 1, "": 0, None: 2}[customer]
+    assert [name for name, _ in request.fields].count("tenant") == expected_fields
+
+
 # Runs of items
 
 
@@ -134,6 +156,22 @@
     assert data.count(b"\n\n") == 5 and data.startswith(b"id: 0\ndata: e0\n\n")
 
 
+@pytest.mark.parametrize(
+    ("customer", "tenant", "key"),
+    [("north", "north", None), ("", None, None), (None, "other", "key-1")],
+)
+async def test_the_customer_of_a_run_replaces_the_fields_of_its_item(
+    client, standin, customer, tenant, key
+):
+    standin.behaviour = "stream"
+    headers = {"Model": "m", "tenant": "other", "x-Api-key": "key-1"}
+    request = evolve(make_run_request(), headers=headers, customer=customer)
+    await read_run(client, standin, request)
+    (received,) = standin.requests
+    assert (received.headers.get("tenant"), received.headers.get("x-api-key")) == (tenant, key)
+    assert received.headers["model"] == "m"
+
+
 async def test_a_run_resumes_after_an_event(client, standin):
     standin.behaviour = "stream"
     _, data = await read_run(client, standin, make_run_request(2))
