Keep the connections of complete streams

Change: the question is asked once the parser has handled the bytes. A test runs three streams on one connection.

--- a/src/apricotvale/platform/connections.py
+++ b/src/apricotvale/platform/connections.py
@@ -63,24 +63,22 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer; close the connection if no request waits for them."""
-        if self.has_answer and self.is_answer_complete():
+        if self.is_answered():
             self.fail(f"{len(data)} bytes that belong to no request")
             return
         super().data_received(data)
+        if self.is_answered() and self.has_partial_response():
+            self.fail("the beginning of a response that belongs to no request")
 
-    def is_answer_complete(self) -> bool:
-        """Return whether the whole body of the answer has arrived."""
-        return self._payload is None or self._payload.is_eof()
-
-    @property
-    def should_close(self) -> bool:
-        """Whether the connection may not be used again, asked once its answer has been read."""
-        return super().should_close or self.has_partial_response()
+    def is_answered(self) -> bool:
+        """Return whether the whole answer of the current request has arrived."""
+        return self.has_answer and (self._payload is None or self._payload.is_eof())
 
     def has_partial_response(self) -> bool:
         """Return whether the beginning of a further response followed the answer."""
-        if self._parser is None or not (self.has_answer and self.is_answer_complete()):
+        if self._parser is None:
             return False
+        # Each request has a parser of its own; this one has no more bytes to parse.
         parser, self._parser = self._parser, None
         try:
             return parser.feed_eof() is not None
@@ -92,9 +90,13 @@
         """Close the connection and log why."""
         metrics.UPSTREAM_BYTES_REJECTED.inc()
         events.emit(events.UPSTREAM_BYTES_REJECTED, why=why)
-        self.set_exception(aiohttp.ClientPayloadError(why))
+        if self.has_answer:
+            # The answer itself is valid, and may not have been read yet.
+            self.force_close()
+        else:
+            self.set_exception(aiohttp.ClientPayloadError(why))
         if self.transport is not None:
-            self.transport.abort()
+            self.transport.close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record whether the connection ended with an error."""
--- a/tests/test_upstream_bytes.py
+++ b/tests/test_upstream_bytes.py
@@ -44,7 +44,7 @@
 
 
 def make_run(request_id="r-1"):
-    return RunRequest("/run", "h.example", request_id, b"prompt", {})
+    return RunRequest("/run", "h.example", request_id, b"", {})
 
 
 async def first_result(client, upstream):
@@ -184,6 +184,26 @@
         assert upstream.connections == 2
 
 
+@pytest.mark.parametrize("ends_apart", [False, True])
+async def test_the_connection_of_a_complete_stream_is_used_again(client, ends_apart):
+    """Guards against a new connection, which is priced, for each run."""
+
+    async def script(reader, writer):
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nWeight-Versions: 1\r\n"
+        writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n4\r\ndata\r\n")
+        await writer.drain()
+        await asyncio.sleep(0.02 * ends_apart)
+        writer.write(b"0\r\n")
+        await asyncio.sleep(0.02 * ends_apart)
+        writer.write(b"\r\n")
+
+    async with RawUpstream(script) as upstream:
+        for _ in range(3):
+            async with client.run(upstream.upstream, make_run()) as stream:
+                assert [chunk async for chunk in stream.chunks()] == [b"data"]
+    assert upstream.connections == 1
+
+
 @pytest.mark.parametrize("operation", ["report", "order"])
 async def test_a_late_copy_is_not_the_answer_of_a_management_call(client, operation):
     """Guards against a report of the past, or an order that is believed to have started."""
