Give each mechanism of the policy a switch, and test planned stops

Cause: an ablation needs each mechanism that decides to be switched off alone. No mechanism had a switch.

Conclusion: no behaviour changes with the default.

--- a/src/apricotvale/cli/__init__.py
+++ b/src/apricotvale/cli/__init__.py
@@ -10,6 +10,7 @@
 from apricotvale.cli.bench import bench
 from apricotvale.cli.config import config
 from apricotvale.cli.explain import explain
+from apricotvale.cli.mechanisms import mechanisms
 from apricotvale.cli.operate import drain, events_command, samples, status, weights
 from apricotvale.cli.processes import allinone, control, entry, sidecar
 from apricotvale.cli.standins import standin
@@ -35,6 +36,7 @@
     samples,
     events_command,
     explain,
+    mechanisms,
     standin,
     bench,
     try_command,
--- a/src/apricotvale/codec.py
+++ b/src/apricotvale/codec.py
@@ -12,6 +12,7 @@
 from cattrs.strategies import configure_tagged_union
 
 from apricotvale.exceptions import EncodingError, MessageError
+from apricotvale.mechanisms import Mechanism, is_on
 
 # Messages from this size are compressed. Level 1 takes about 10 ms for a megabyte of text; higher
 # levels take longer and save little more.
@@ -81,7 +82,7 @@
     :raises EncodingError: if a number or text of the message cannot be encoded.
     """
     data = encode(message, kind)
-    if len(data) < MIN_COMPRESSED_BYTES:
+    if len(data) < MIN_COMPRESSED_BYTES or not is_on(Mechanism.COMPRESSION):
         return data
     compressed = zlib.compress(data, COMPRESSION_LEVEL)
     return compressed if len(compressed) < len(data) else data
--- a/src/apricotvale/daemons/capacity.py
+++ b/src/apricotvale/daemons/capacity.py
@@ -16,6 +16,7 @@
 from apricotvale.jobs.planning import Prospect
 from apricotvale.jobs.store import JobRecord
 from apricotvale.jobs.transcript import Transcript
+from apricotvale.mechanisms import Mechanism, is_on
 from apricotvale.routes import Route, RouteTable
 
 Services = frozenset[str]
@@ -68,7 +69,7 @@
         for services, pool in self.pools.items():
             activity = self.activity(services, pool, now)
             pool.count_served(activity, now)
-            if now < pool.next_plan_at:
+            if now < pool.next_plan_at or not is_on(Mechanism.GROUP_PLAN):
                 continue
             if pool.update(activity, now):
                 began = pool.overload.is_active
@@ -213,7 +214,7 @@
     ) -> float | None:
         """Return the time until a new job may be submitted again, None if it is accepted."""
         route = table.match(job.host, job.path) if table else None
-        if route is None:
+        if route is None or not is_on(Mechanism.GROUP_PLAN):
             return None
         self.record_jobs([r for r in records if r.job.job_id in self.seen_at], table)
         services = services_of(route)
--- a/src/apricotvale/daemons/copy_reader.py
+++ b/src/apricotvale/daemons/copy_reader.py
@@ -14,6 +14,7 @@
 from apricotvale.exceptions import EncodingError
 from apricotvale.fleet import calls
 from apricotvale.fleet.calls import FLEET
+from apricotvale.mechanisms import Mechanism, is_on
 
 CALL_TIMEOUT_S = 0.3
 # A replica that failed to give a copy is asked again after this time.
@@ -52,6 +53,8 @@
 
         There is no need for one if the leader is as near.
         """
+        if not is_on(Mechanism.NEAR_COPIES):
+            return None
         known = self.addresses()
         due = [a for a in known if a not in self.sites and now >= self.retry_at.get(a, 0.0)]
         if due and (self.locating is None or self.locating.done()):
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -33,6 +34,7 @@
 )
 from apricotvale.jobs.store import JobRecord
 from apricotvale.jobs.transcript import Transcript, output_limit
+from apricotvale.mechanisms import Mechanism, is_on
 from apricotvale.outcomes import Refusal
 from apricotvale.requests.calls import Answer, Call, RunRequest, RunStream, UpstreamClient
 from apricotvale.requests.routing import Pace
@@ -256,7 +258,8 @@
             is_leaving = engine.standing is Standing.DRAINING
             speeds = self.engines_of(route, now).speeds
             if not is_leaving and (
-                now < run.started_at + MOVE_MIN_AGE_S
+                not is_on(Mechanism.RUN_MOVES)
+                or now < run.started_at + MOVE_MIN_AGE_S
                 or not may_be_left(engine, self.usages, speeds)
             ):
                 continue
@@ -307,6 +310,8 @@
 
     async def save_progress(self) -> None:
         """Commit the output that long items have generated since the last call."""
+        if not is_on(Mechanism.SAVED_PROGRESS):
+            return
         by_job: dict[str, list[Progress]] = {}
         now = clock.now()
         saved = []
@@ -372,7 +377,7 @@
         if self.priorities[0] is not self.table:
             table = self.table
             self.priorities = (table, service_priorities(table) if table else {})
-        if self.table is None:
+        if self.table is None or not is_on(Mechanism.RUN_PRIORITIES):
             return None
         rank = urgency_class(
             self.priorities[1], route, urgency(self.table, route, run.job.customer)
@@ -646,6 +651,8 @@
 
     def reward_limit(self, service: str) -> int:
         """Return how many reward calls may be in flight at a service."""
+        if not is_on(Mechanism.REWARD_SLOTS):
+            return sys.maxsize
         is_short = self.forwarder.refused_recently(service, clock.now())
         return reward_limit(self.forwarder.view.ready(service), is_short)
 
@@ -653,7 +660,8 @@
         """Commit an item's result; if leadership was lost, another leader runs the item again."""
         completed = state is ItemState.COMPLETED
         # The command holds only what is not in the replicated state yet.
-        saved_events = min(run.saved_events, len(run.transcript.data) - 1) if completed else 0
+        may_refer = completed and is_on(Mechanism.OUTPUT_ONCE)
+        saved_events = min(run.saved_events, len(run.transcript.data) - 1) if may_refer else 0
         result = Result(
             run.item.item_id,
             state,
--- a/src/apricotvale/engines/pool.py
+++ b/src/apricotvale/engines/pool.py
@@ -17,6 +17,7 @@
     speed_range,
 )
 from apricotvale.jobs.types import Item, Job
+from apricotvale.mechanisms import Mechanism, is_on
 from apricotvale.routes import Route
 from apricotvale.weights.orders import EngineLoads, known_version
 
@@ -102,7 +103,7 @@
         :param may_wait: whether the item may wait for a faster engine.
         :param leaving: incarnations that stated to this process that they leave.
         """
-        parts = item.prompt_parts
+        parts = item.prompt_parts if is_on(Mechanism.CACHED_PREFIXES) else ()
         engines = found.engines
         if leaving:
             engines = [engine for engine in engines if engine.incarnation not in leaving]
--- a/src/apricotvale/jobs/placement.py
+++ b/src/apricotvale/jobs/placement.py
@@ -9,6 +9,7 @@
 
 from apricotvale.discovery import Standing, Upstream
 from apricotvale.engines.speed import EngineSpeed, ServiceSpeed
+from apricotvale.mechanisms import Mechanism, is_on
 from apricotvale.weights.orders import EngineLoads, is_loading, known_version
 
 # Back-off after a failed or refused run; it doubles with each consecutive failure.
@@ -120,7 +121,8 @@
 
     def slots(self, capacity: int, now: float) -> int:
         """Return how many runs the engine may have now."""
-        if now < self.trial_until and self.trial_runs < TRIAL_RUNS:
+        is_on_trial = now < self.trial_until and self.trial_runs < TRIAL_RUNS
+        if is_on_trial and is_on(Mechanism.ENGINE_TRIAL):
             return max(1, capacity // 2)
         return capacity
 
@@ -158,7 +160,7 @@
     """Return the range of the engines' times per event."""
     times = [usage.pace.seconds_per_event for usage in usages.values()]
     known = sorted(time for time in times if time)
-    if not known:
+    if not known or not is_on(Mechanism.ENGINE_SPEEDS):
         return SpeedRange()
     is_even = known[-1] <= known[0] * EVEN_SPEED_RATIO
     return SpeedRange(known[0], known[(len(known) - 1) // 2], is_even)
--- a/src/apricotvale/jobs/scheduling.py
+++ b/src/apricotvale/jobs/scheduling.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 
 from apricotvale.jobs.types import Item, Job
+from apricotvale.mechanisms import Mechanism, is_on
 from apricotvale.routes import Route
 
 
@@ -55,6 +56,8 @@
     duration of its whole step, so the item whose latest start is next goes first, whichever job it
     belongs to. Groups beyond the wanted ones come last.
     """
+    if not is_on(Mechanism.ITEM_ORDER):
+        return waiting
     return sorted(waiting, key=lambda waiting: (waiting.is_spare, waiting.latest_start))
 
 
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -10,7 +10,7 @@
 from contextlib import AsyncExitStack
 from pathlib import Path
 
-from apricotvale import events, metrics
+from apricotvale import events, mechanisms, metrics
 from apricotvale.daemons.runtime import HttpServer, install_reload_handler, run
 from apricotvale.exceptions import ApricotvaleError
 from apricotvale.log_writer import configure_bounded
@@ -114,5 +114,6 @@
     except ApricotvaleError as error:
         sys.stderr.write(f"Error: {error.format_message()}\n")
         sys.exit(error.exit_code)
+    mechanisms.disable(settings.disabled)
     configure_bounded(settings.name, settings.log_level)
     run(lambda stop: run_role(role, settings, listener, stop))
--- a/src/apricotvale/requests/forwarding.py
+++ b/src/apricotvale/requests/forwarding.py
@@ -8,6 +8,7 @@
 
 from attrs import define, evolve, field
 
+from apricotvale.mechanisms import Mechanism, is_on
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run, unknown
 from apricotvale.requests.calls import Answer
 from apricotvale.routes import Route, RouteKind
@@ -75,7 +76,8 @@
             return False
         if not self.in_flight:
             return self.repeatable or not self.may_have_run
-        return self.repeatable and self.in_flight < MAX_CONCURRENT_COPIES and now >= self.hedge_at
+        may_hedge = self.repeatable and is_on(Mechanism.HEDGING)
+        return may_hedge and self.in_flight < MAX_CONCURRENT_COPIES and now >= self.hedge_at
 
     def begin(self, incarnation: str, now: float) -> None:
         """Record that a copy is sent to an upstream."""
--- a/src/apricotvale/requests/routing.py
+++ b/src/apricotvale/requests/routing.py
@@ -15,6 +15,7 @@
 from attrs import define, field, frozen
 
 from apricotvale.hashing import hash64
+from apricotvale.mechanisms import Mechanism, is_on
 from apricotvale.outcomes import RETRY_AFTER_S, Reason, Refusal, not_run
 from apricotvale.settings.schema import Routing
 
@@ -259,7 +260,7 @@
         """
         load = self.load_of(member)
         load.failures += 1
-        if load.failures < self.settings.eject_failures:
+        if load.failures < self.settings.eject_failures or not is_on(Mechanism.EJECTION):
             return False
         doublings = min(load.ejections, MAX_EJECTION_DOUBLINGS)
         load.ejected_until = now + self.settings.eject_ms / 1000 * 2**doublings
--- a/src/apricotvale/settings/fleet.py
+++ b/src/apricotvale/settings/fleet.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 
 from apricotvale.exceptions import SettingsError
+from apricotvale.mechanisms import Mechanism
 from apricotvale.settings.loader import Checker, Problem
 from apricotvale.settings.schema import option
 
@@ -66,6 +67,10 @@
         "time from the end of a window until its usage report is due", 10.0, least=0.2
     )
     stop_s: float = option("time limit of a graceful shutdown", 8.0, least=0)
+    disabled: list[str] = option(
+        "mechanisms that are switched off for a measurement; `apricotvale mechanisms` lists them",
+        list,
+    )
     log_level: str = option("DEBUG, INFO, WARNING or ERROR", "INFO")
 
     @property
@@ -98,6 +103,11 @@
         raise SettingsError([Problem(str(path), "", str(error), "a readable TOML file")]) from error
     checker = Checker(str(path))
     settings = checker.build(FleetSettings, document, "")
+    named = set(settings.disabled) if settings else set()
+    unknown = sorted(named - {mechanism.value for mechanism in Mechanism})
+    if unknown:
+        known = "names of mechanisms"
+        checker.problems.append(Problem(str(path), "disabled", ", ".join(unknown), known))
     if checker.problems:
         raise SettingsError(checker.problems)
     return settings
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,147 @@
+"""A planned stop of an entry under load: every request that it has read is answered."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import pytest
+from attrs import define, field
+
+from apricotvale.daemons import fleet_entry
+from apricotvale.platform import names, start
+from apricotvale.settings.fleet import FleetSettings
+from scripts.ports import free_address
+from tests.platform_site import HOST, Site
+
+CALLERS = 200
+STOP_AFTER_S = 0.6
+
+
+@pytest.fixture
+async def site(tmp_path):
+    async with Site(tmp_path) as site:
+        await site.wait_until_ready()
+        site.keep_sending_heartbeats()
+        yield site
+
+
+@define
+class StoppingEntry:
+    """An entry run as its process runs it, until `stop` is set."""
+
+    address: str
+    readiness: str
+    stop: asyncio.Event = field(factory=asyncio.Event)
+    task: asyncio.Task | None = None
+
+    @property
+    def is_stopped(self):
+        return self.task is not None and self.task.done()
+
+
+@pytest.fixture
+async def entry(site, monkeypatch):
+    monkeypatch.setattr(fleet_entry, "BALANCER_REMOVAL_S", 0.5)
+    entry = StoppingEntry(free_address(), free_address())
+    settings = FleetSettings(
+        name="edge-2",
+        site="a",
+        ip="127.0.0.1",
+        contacts=site.entry.settings.contacts,
+        internal_port=site.entry.settings.internal_port,
+        requests=entry.address,
+        readiness=entry.readiness,
+        stop_s=4.0,
+    )
+    entry.task = asyncio.create_task(start.run_entry(settings, None, entry.stop))
+
+    async def read_ready():
+        try:
+            async with site.session.get(f"http://{entry.readiness}{names.READY_PATH}") as response:
+                return response.status
+        except OSError:
+            return 0
+
+    await site.wait_until(read_ready, lambda status: status == 200)
+    yield entry
+    entry.stop.set()
+    await asyncio.wait_for(entry.task, 10.0)
+
+
+async def read_answer(reader):
+    """Return the status of a whole answer, and whether the connection stays open."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+    length = next(
+        int(line.split(":")[1]) for line in head.split("\r\n") if line.startswith("content-length")
+    )
+    await reader.readexactly(length)
+    return int(head.split()[1]), "connection: close" not in head
+
+
+async def call_until_closed(entry, number, outcomes, half_head):
+    """Send requests on one connection until the entry says that it closes it.
+
+    :param half_head: whether the head of each request is sent in two parts with a pause.
+    """
+    host, port = entry.address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for count in range(1_000):
+        head = (
+            f"POST /fees/{number} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"{names.REQUEST_ID}: r-{number}-{count}"
+            f"\r\n{names.DEADLINE_MS}: 3000\r\nContent-Length: 1\r\n\r\n"
+        ).encode() + b"x"
+        middle = len(head) // 2 if half_head else 0
+        try:
+            writer.write(head[:middle])
+            await asyncio.sleep(0.02 * half_head)
+            writer.write(head[middle:])
+            status, stays_open = await asyncio.wait_for(read_answer(reader), 5.0)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+            outcomes[type(error).__name__] += 1
+            break
+        outcomes[status] += 1
+        if not stays_open:
+            outcomes["told"] += 1
+            break
+        await asyncio.sleep(0.05)
+    writer.close()
+
+
+@pytest.mark.parametrize("half_head", [False, True])
+async def test_callers_on_kept_connections_are_answered_and_told(site, entry, half_head):
+    """Guards against requests that are cut off because they were accepted just before the stop."""
+    for desk in site.desks:
+        desk.read_s = 0.05
+    outcomes = Counter()
+    callers = [
+        asyncio.create_task(call_until_closed(entry, n, outcomes, half_head))
+        for n in range(CALLERS)
+    ]
+    await asyncio.sleep(STOP_AFTER_S)
+    entry.stop.set()
+    await asyncio.gather(*callers)
+    assert set(outcomes) <= {200, 503, "told"}, outcomes
+    assert outcomes["told"] == CALLERS
+    assert outcomes[200] > CALLERS
+
+
+async def test_requests_that_run_when_the_stop_comes_are_finished(site, entry):
+    for desk in site.desks:
+        desk.behaviour = "slow"
+    outcomes = Counter()
+    callers = [asyncio.create_task(call_until_closed(entry, n, outcomes, False)) for n in range(20)]
+    await asyncio.sleep(0.1)
+    entry.stop.set()
+    await asyncio.gather(*callers)
+    assert outcomes == {200: 20, "told": 20}
+
+
+async def test_new_connections_are_served_until_the_balancer_has_removed_the_entry(site, entry):
+    entry.stop.set()
+    await asyncio.sleep(0.1)
+    outcomes = Counter()
+    callers = [call_until_closed(entry, n, outcomes, True) for n in range(50)]
+    await asyncio.gather(*callers)
+    assert outcomes == {200: 50, "told": 50}
