--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -27,6 +27,7 @@
 from apricotvale.daemons.load_scheduler import LoadScheduler
 from apricotvale.daemons.peers import Peers
 from apricotvale.daemons.replica import LostLeadership, Replica
+from apricotvale.daemons.result_reader import ResultReader
 from apricotvale.daemons.rpc import ControlService, make_server
 from apricotvale.daemons.runtime import TaskGroup, wait_event, wait_until_stopped
 from apricotvale.discovery import RegistryView, Upstream
@@ -36,7 +37,7 @@
 from apricotvale.fleet import commands as c
 from apricotvale.fleet.calls import FLEET
 from apricotvale.fleet.state import FleetState
-from apricotvale.jobs import Job, Result
+from apricotvale.jobs import Job
 from apricotvale.jobs.admission import spread
 from apricotvale.jobs.store import expected_bytes
 from apricotvale.outcomes import Refusal
@@ -56,11 +57,6 @@
 PURGE_INTERVAL_S = 5.0
 # Jobs stay readable for this long beyond the retention period of the settings.
 RETENTION_MARGIN_S = 30.0
-MAX_RESULT_BYTES = 900_000
-# Smaller pages are sent by the leader itself, which saves a call.
-MIN_COPY_BYTES = 2_048
-# A follower applies an entry about a round trip after the leader.
-COPY_WAIT_S = 0.2
 BYTES_PER_MIB = 1024 * 1024
 TRANSFER_WAIT_S = 1.0
 # A leader refuses no job for lack of capacity before it has led for this long.
@@ -144,7 +140,7 @@
         self.purge_at = 0.0
         self.changed = asyncio.Event()
         self.watched = (0, 0)
-        self.news_events: dict[str, asyncio.Event] = {}
+        self.results = ResultReader(self.state, self.is_denied, lambda: self.stopping)
         self.tasks_due = asyncio.Event()
         self.stopping = False
 
@@ -197,11 +193,7 @@
             self.watched = watched
             self.changed.set()
             self.changed = asyncio.Event()
-        for job_id in self.state.jobs.news:
-            event = self.news_events.pop(job_id, None)
-            if event is not None:
-                event.set()
-        self.state.jobs.news.clear()
+        self.results.wake_readers()
         if self.duties:
             self.duties.on_applied(self.leading_term == self.replica.node.term)
         self.tasks_due.set()
@@ -231,7 +223,7 @@
         if isinstance(request, ReadPart):
             return await self.replica.read_part(request)
         if isinstance(request, calls.ReadCopy):
-            return await self.read_copy(request)
+            return await self.results.read_copy(request)
         if isinstance(request, calls.Locate):
             return calls.Located(self.settings.site)
         if not self.replica.leads or self.stopping:
@@ -515,7 +507,7 @@
             case calls.ReadTable():
                 return calls.TableRead(self.state.table.version, self.state.table.document)
             case calls.ReadResults():
-                return await self.read_results(request)
+                return await self.results.read(request)
             case calls.ReadItem():
                 if self.is_denied(request, request.job_id):
                     return calls.NotFound()
@@ -534,57 +526,6 @@
             return calls.NotFound()
         return calls.RetirementRead(node.groups[-1][0] <= node.commit_index)
 
-    async def read_results(self, request: calls.ReadResults) -> Any:
-        """Long poll for a job's results from a position on.
-
-        Returns as soon as there is a result or the job is complete. The output is limited to
-        `MAX_RESULT_BYTES` unless a single result is larger.
-        """
-        deadline = clock.now() + request.wait_ms / 1000
-        while True:
-            record = self.state.jobs.state.records.get(request.job_id)
-            if record is None or self.is_denied(request, request.job_id):
-                return calls.NotFound()
-            found = record.results[max(0, request.after) :]
-            left_s = deadline - clock.now()
-            complete = len(record.results) == len(record.job.items)
-            if found or complete or left_s <= 0 or self.stopping:
-                break
-            event = self.news_events.setdefault(request.job_id, asyncio.Event())
-            await wait_event(event, left_s)
-        page: list[Result] = []
-        size = 0
-        for result in found:
-            size += len(result.output)
-            if page and size > MAX_RESULT_BYTES:
-                break
-            page.append(result)
-        start = max(0, request.after)
-        total, next_position = len(record.job.items), start + len(page)
-        if request.has_copy and size >= MIN_COPY_BYTES:
-            return calls.ResultsOutline(total, record.accepted_at, start, next_position)
-        return calls.ResultsRead(total, next_position, page)
-
-    async def read_copy(self, request: calls.ReadCopy) -> Any:
-        """Return results that the leader has listed, once this replica has applied them.
-
-        A result's position and content never change, so that they are the same at all replicas. The
-        log index tells the job from a later one with the same id.
-        """
-        deadline = clock.now() + COPY_WAIT_S
-        end = request.start + request.count
-        while True:
-            record = self.state.jobs.state.records.get(request.job_id)
-            is_same = record is not None and record.accepted_at == request.accepted_at
-            if record is not None and is_same and len(record.results) >= end:
-                results = record.results[request.start : end]
-                return calls.ResultsRead(len(record.job.items), end, results)
-            left_s = deadline - clock.now()
-            if left_s <= 0 or self.stopping:
-                return calls.NotFound()
-            event = self.news_events.setdefault(request.job_id, asyncio.Event())
-            await wait_event(event, left_s)
-
     async def on_watch(self, watch: calls.Watch) -> Any:
         """Long poll for changes of the registry and the table.
 
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -175,7 +175,7 @@
     async def fail(request):
         raise ConnectionError("lost")
 
-    monkeypatch.setattr(site.controls[near], "read_copy", fail)
+    monkeypatch.setattr(site.controls[near].results, "read_copy", fail)
     started = clock.now()
     assert await site.results("j-1") == before
     assert await site.results("j-1") == before
@@ -188,8 +188,8 @@
     await list_results(site)
     control = site.controls[near]
     record = control.state.jobs.state.records["j-1"]
-    full = await control.read_copy(calls.ReadCopy("j-1", record.accepted_at, 0, 3))
+    full = await control.results.read_copy(calls.ReadCopy("j-1", record.accepted_at, 0, 3))
     assert len(full.results) == 3
-    missing = await control.read_copy(calls.ReadCopy("j-1", record.accepted_at, 0, 4))
-    other_job = await control.read_copy(calls.ReadCopy("j-1", record.accepted_at + 1, 0, 3))
+    missing = await control.results.read_copy(calls.ReadCopy("j-1", record.accepted_at, 0, 4))
+    other_job = await control.results.read_copy(calls.ReadCopy("j-1", record.accepted_at + 1, 0, 3))
     assert missing == other_job == calls.NotFound()
