--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -54,19 +54,24 @@
 
     def __init__(self) -> None:
         self.session: aiohttp.ClientSession
-        self.control_session: aiohttp.ClientSession
+        self.report_session: aiohttp.ClientSession
+        self.order_session: aiohttp.ClientSession
         self.held = ByteBudget()
 
     async def __aenter__(self) -> PlatformClient:
         self.session = make_session(AUTOMATIC_FIELDS, keep=True)
-        # The answers of management calls carry no request id. Each call has a connection of its
-        # own, so that it cannot receive the answer of another one.
-        self.control_session = make_session(AUTOMATIC_FIELDS, keep=False)
+        # The answers of management calls carry no request id, so that no connection serves two
+        # kinds of calls. Each order has a connection of its own: it cannot receive the answer of
+        # another one. A copy of an earlier report is harmless, since orders state how many orders
+        # the engine has accepted.
+        self.report_session = make_session(AUTOMATIC_FIELDS, keep=True)
+        self.order_session = make_session(AUTOMATIC_FIELDS, keep=False)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         await self.session.close()
-        await self.control_session.close()
+        await self.report_session.close()
+        await self.order_session.close()
 
     async def call(self, upstream: Upstream, call: Call) -> Answer | Refusal:
         """Send a request and return the complete answer, or why there is none."""
@@ -149,7 +154,9 @@
 
     async def report(self, upstream: Upstream) -> EngineReport | Refusal:
         """Read an engine's report: its models, whether it is busy and its count of orders."""
-        answer = await self.control_call(upstream, "GET", names.REPORT_PATH, b"", MAX_REPORT_BYTES)
+        answer = await self.control_call(
+            self.report_session, upstream, "GET", names.REPORT_PATH, b"", MAX_REPORT_BYTES
+        )
         if isinstance(answer, Refusal):
             return answer
         if answer.status != 200:
@@ -162,16 +169,25 @@
     async def order(self, upstream: Upstream, order: LoadOrder) -> OrderOutcome | Refusal:
         """Order an engine to load a version; return the outcome."""
         body = json.dumps(wire.format_order(order)).encode()
-        answer = await self.control_call(upstream, "POST", names.ORDER_PATH, body, MAX_STATUS_BYTES)
+        answer = await self.control_call(
+            self.order_session, upstream, "POST", names.ORDER_PATH, body, MAX_STATUS_BYTES
+        )
         if isinstance(answer, Refusal):
             return answer
         return ORDER_OUTCOME_BY_STATUS.get(answer.status, OrderOutcome.REJECTED)
 
     async def control_call(
-        self, upstream: Upstream, method: str, path: str, body: bytes, max_bytes: int
+        self,
+        session: aiohttp.ClientSession,
+        upstream: Upstream,
+        method: str,
+        path: str,
+        body: bytes,
+        max_bytes: int,
     ) -> Answer | Refusal:
         """Call a management path of the upstream; its answer has no request id or signature.
 
+        :param session: provides connections for calls of this kind only.
         :param max_bytes: bound of the answer's body.
         """
         headers = {names.EXPECT_INSTANCE: upstream.upstream_id}
@@ -180,7 +196,7 @@
         try:
             async with (
                 asyncio.timeout(CONTROL_CALL_TIMEOUT_S),
-                self.control_session.request(
+                session.request(
                     method,
                     target_url(upstream, path),
                     data=body or None,
