Revert the early port of an entry

Cause: the port that opens before the imports was to serve callers after a final loss.

Callers of one entry that restarts among others would wait for up to a third of their time where they are refused at once and try another entry.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -15,11 +15,6 @@
 # the time to start.
 gc.disable()
 
-from apricotvale.early_listener import open_listener  # noqa: E402
-
-# Callers wait for the rest of the start instead of failing.
-listener = open_listener(os.environ.get("APRICOTVALE_BOOT", ""))
-
 from apricotvale.platform.start import main  # noqa: E402
 
-main(listener)
+main()
--- a/src/apricotvale/daemons/runtime.py
+++ b/src/apricotvale/daemons/runtime.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import signal
-import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -87,18 +86,10 @@
     :param address: `host:port` to listen on.
     :param decode_bodies: whether bodies with a content encoding are decoded; must be False for
         bodies that are forwarded.
-    :param listener: listens on the address already; the server closes it when it stops accepting.
     """
 
-    def __init__(
-        self,
-        app: web.Application,
-        address: str,
-        decode_bodies: bool = True,
-        listener: socket.socket | None = None,
-    ) -> None:
+    def __init__(self, app: web.Application, address: str, decode_bodies: bool = True) -> None:
         self.address = address
-        self.listener = listener
         self.runner = web.AppRunner(
             app,
             logger=HTTP_LOGGER,
@@ -110,15 +101,12 @@
             max_field_size=MAX_HEADER_BYTES,
             auto_decompress=decode_bodies,
         )
-        self.site: web.BaseSite | None = None
+        self.site: web.TCPSite | None = None
 
     async def __aenter__(self) -> HttpServer:
         host, _, port = self.address.rpartition(":")
         await self.runner.setup()
-        if self.listener is not None:
-            self.site = web.SockSite(self.runner, self.listener)
-        else:
-            self.site = web.TCPSite(self.runner, host, int(port))
+        self.site = web.TCPSite(self.runner, host, int(port))
         await self.site.start()
         return self
 
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -5,7 +5,6 @@
 import asyncio
 import gc
 import os
-import socket
 import sys
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
@@ -23,12 +22,10 @@
 GARBAGE_DELAY_S = 2.0
 SETTINGS_VARIABLE = "APRICOTVALE_BOOT"
 
-Role = Callable[[FleetSettings, socket.socket | None, asyncio.Event], Awaitable[None]]
+Role = Callable[[FleetSettings, asyncio.Event], Awaitable[None]]
 
 
-async def run_entry(
-    settings: FleetSettings, listener: socket.socket | None, stop: asyncio.Event
-) -> None:
+async def run_entry(settings: FleetSettings, stop: asyncio.Event) -> None:
     """Run an entry: serve callers until `stop` is set, then finish their requests."""
     # Imports of one role are left to it: half of the time to restart an entry are imports.
     from apricotvale.daemons.fleet_entry import FleetEntry
@@ -41,7 +38,7 @@
         readiness = HttpServer(interface.make_readiness_app(), settings.readiness)
         await stack.enter_async_context(readiness)
         server = await stack.enter_async_context(
-            HttpServer(interface.make_app(), settings.requests, False, listener)
+            HttpServer(interface.make_app(), settings.requests, decode_bodies=False)
         )
         events.emit(events.STARTED, listen=settings.requests)
         install_reload_handler(lambda: reload(entry.apply_settings))
@@ -52,9 +49,7 @@
     events.emit(events.STOPPED)
 
 
-async def run_control(
-    settings: FleetSettings, listener: socket.socket | None, stop: asyncio.Event
-) -> None:
+async def run_control(settings: FleetSettings, stop: asyncio.Event) -> None:
     """Run control: serve operators, trainers, upstreams and entries until `stop` is set."""
     from apricotvale.daemons.fleet_control import FleetControl
     from apricotvale.platform.infrastructure import InfrastructureClient
@@ -93,30 +88,23 @@
     gc.enable()
 
 
-async def run_role(
-    role: Role, settings: FleetSettings, listener: socket.socket | None, stop: asyncio.Event
-) -> None:
-    """Run a role, with its metrics served alongside if an address for them is set.
-
-    :param listener: listens on the address for callers already; None if it does not.
-    """
+async def run_role(role: Role, settings: FleetSettings, stop: asyncio.Event) -> None:
+    """Run a role, with its metrics served alongside if an address for them is set."""
     asyncio.get_running_loop().call_later(GARBAGE_DELAY_S, collect_garbage)
     async with AsyncExitStack() as stack:
         if settings.metrics:
             server = HttpServer(metrics.make_app(), settings.metrics)
             await stack.enter_async_context(server)
-        await role(settings, listener, stop)
+        await role(settings, stop)
 
 
 ROLES: dict[str, Role] = {"entry": run_entry, "control": run_control}
 
 
-def main(listener: socket.socket | None = None) -> None:
+def main() -> None:
     """Run the role named by the first command-line argument.
 
     The settings file is named by the environment variable `APRICOTVALE_BOOT`.
-
-    :param listener: listens on the address for callers already, see `early_listener`.
     """
     role = ROLES[sys.argv[1]]
     try:
@@ -126,4 +114,4 @@
         sys.exit(error.exit_code)
     mechanisms.disable(settings.disabled)
     configure_bounded(settings.name, settings.log_level)
-    run(lambda stop: run_role(role, settings, listener, stop))
+    run(lambda stop: run_role(role, settings, stop))
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -54,7 +54,7 @@
         readiness=entry.readiness,
         stop_s=4.0,
     )
-    entry.task = asyncio.create_task(start.run_entry(settings, None, entry.stop))
+    entry.task = asyncio.create_task(start.run_entry(settings, entry.stop))
 
     async def read_ready():
         try:
