Move the parsing of numbers, and test the stop of a control replica

Cause: the adapter imported the range of numbers from the module of transcripts, where a reader would not look for it; the stop of a control replica under load had no test.

--- a/src/apricotvale/daemons/copy_reader.py
+++ b/src/apricotvale/daemons/copy_reader.py
@@ -11,7 +11,6 @@
 from apricotvale import clock, events, metrics
 from apricotvale.daemons.rpc import RpcClient
 from apricotvale.daemons.runtime import TaskGroup
-from apricotvale.exceptions import EncodingError
 from apricotvale.fleet import calls
 from apricotvale.fleet.calls import FLEET
 from apricotvale.mechanisms import Mechanism, is_on
@@ -105,10 +104,6 @@
             client = self.clients[address] = RpcClient(address, FLEET)
         try:
             return await client.call(request, CALL_TIMEOUT_S)
-        except asyncio.CancelledError:
-            raise
-        except EncodingError:
-            raise
         except Exception as error:
             self.retry_at[address] = clock.now() + RETRY_S
             events.emit(events.PEER_LOST, address=address, error=repr(error))
--- a/src/apricotvale/jobs/transcript.py
+++ b/src/apricotvale/jobs/transcript.py
@@ -6,11 +6,9 @@
 
 from apricotvale.exceptions import TruncatedStreamError
 from apricotvale.jobs.types import Item, Progress, join_events
+from apricotvale.numerals import parse_number
 
 EVENT_END = b"\n\n"
-# The largest integer that the encoding of commands holds.
-MAX_NUMBER = 2**63 - 1
-MAX_DIGITS = len(str(MAX_NUMBER))
 # Bounds of an output: a token rarely has more than some tens of bytes, and the fields of an event
 # that carry no output are counted while the event is incomplete.
 MAX_BYTES_PER_TOKEN = 1024
@@ -142,18 +140,6 @@
     return min(limit, MAX_OUTPUT_BYTES) if item.tokens else MAX_OUTPUT_BYTES
 
 
-def parse_number(text: str) -> int:
-    """Parse a non-negative decimal integer that a command can hold.
-
-    :raises ValueError: if the text is anything else.
-    """
-    if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS:
-        number = int(text)
-        if number <= MAX_NUMBER:
-            return number
-    raise ValueError(f"{text[:MAX_DIGITS]!r} is not an integer from 0 to {MAX_NUMBER}")
-
-
 def parse_event_number(value: bytes) -> int:
     """Parse a number in a field of an event.
 
--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -14,7 +14,7 @@
 from apricotvale import clock
 from apricotvale.discovery import Upstream
 from apricotvale.exceptions import ApricotvaleError, TruncatedStreamError
-from apricotvale.jobs.transcript import parse_number
+from apricotvale.numerals import parse_number
 from apricotvale.outcomes import Reason, Refusal, not_run, unknown
 from apricotvale.platform import names, wire
 from apricotvale.platform.answers import (
--- a/src/apricotvale/platform/delivery.py
+++ b/src/apricotvale/platform/delivery.py
@@ -137,9 +137,11 @@
     :param deadline: when the whole body is refused, on `clock.now`.
     """
     hold = request.get(HOLD_KEY)
-    left_s = deadline - clock.now()
+    left_s = max(0.0, deadline - clock.now())
+    # Without a bound on held bytes, a stalled body keeps no room from other requests.
+    wait_s = left_s if hold is None else min(left_s, BODY_STALL_S)
     try:
-        async with asyncio.timeout(max(0.0, min(left_s, BODY_STALL_S) if hold else left_s)):
+        async with asyncio.timeout(wait_s):
             return await request.content.readany()
     except TimeoutError:
         if hold is not None and left_s > BODY_STALL_S:
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -14,7 +14,7 @@
 from apricotvale.daemons.fleet_entry import FleetEntry
 from apricotvale.exceptions import BadInputError
 from apricotvale.fleet import calls
-from apricotvale.jobs.transcript import parse_number
+from apricotvale.numerals import parse_number
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run
 from apricotvale.platform import delivery, names, wire
 from apricotvale.requests.calls import Answer, Call
--- a/src/apricotvale/platform/wire.py
+++ b/src/apricotvale/platform/wire.py
@@ -15,7 +15,7 @@
 from apricotvale.exceptions import BadInputError, bad_input
 from apricotvale.fleet import calls
 from apricotvale.jobs import Item, ItemState, Job, PromptPart, Result, RewardCall
-from apricotvale.jobs.transcript import MAX_NUMBER, parse_number
+from apricotvale.numerals import MAX_NUMBER, parse_number
 from apricotvale.platform import names
 from apricotvale.routes import (
     Backend,
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -145,3 +145,71 @@
     callers = [call_until_closed(entry, n, outcomes, True) for n in range(50)]
     await asyncio.gather(*callers)
     assert outcomes == {200: 50, "told": 50}
+
+
+@pytest.fixture
+async def replica(site, tmp_path):
+    """A further control replica, run as its process runs it, that has joined the group."""
+    contacts = site.controls[0].settings.contacts
+    host = "127.0.0.6"
+    replica = StoppingEntry(free_address(host), "")
+    settings = FleetSettings(
+        name="storage-9",
+        site="a",
+        ip=host,
+        contacts=contacts,
+        internal_port=site.controls[0].settings.internal_port,
+        interface=replica.address,
+        data_folder=str(tmp_path / "storage-9"),
+        lease_ms=300,
+    )
+    replica.task = asyncio.create_task(start.run_control(settings, replica.stop))
+
+    async def read_config():
+        try:
+            async with site.session.get(f"http://{replica.address}{names.CONFIG_PATH}") as response:
+                return response.status
+        except OSError:
+            return 0
+
+    await site.wait_until(read_config, lambda status: status == 200)
+    yield replica
+    replica.stop.set()
+    await asyncio.wait_for(replica.task, 10.0)
+
+
+async def read_config_until_closed(replica, outcomes):
+    """Read the configuration on one connection until the replica closes it.
+
+    A request that crosses the close has not been read; the connection then ends without a byte.
+    """
+    host, port = replica.address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for _ in range(1_000):
+        head = f"GET {names.CONFIG_PATH} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
+        try:
+            writer.write(head)
+            status, stays_open = await asyncio.wait_for(read_answer(reader), 5.0)
+        except asyncio.IncompleteReadError as error:
+            outcomes["cut" if error.partial else "closed"] += 1
+            break
+        except (OSError, TimeoutError) as error:
+            outcomes[type(error).__name__] += 1
+            break
+        outcomes[status] += 1
+        if not stays_open:
+            break
+        await asyncio.sleep(0.02)
+    writer.close()
+
+
+async def test_a_control_replica_cuts_no_answer_when_it_stops(site, replica):
+    """Guards against operators and upstreams whose calls end in the middle of an answer."""
+    outcomes = Counter()
+    callers = [asyncio.create_task(read_config_until_closed(replica, outcomes)) for _ in range(60)]
+    await asyncio.sleep(STOP_AFTER_S)
+    replica.stop.set()
+    await asyncio.gather(*callers)
+    assert outcomes[200] > 60
+    assert outcomes["cut"] == outcomes["TimeoutError"] == 0
+    assert set(outcomes) <= {200, 503, "closed", "ConnectionResetError", "BrokenPipeError"}
--- a/tests/test_transcripts.py
+++ b/tests/test_transcripts.py
@@ -21,12 +21,12 @@
 from apricotvale.jobs import Item, Job
 from apricotvale.jobs.placement import EngineUsage
 from apricotvale.jobs.transcript import (
-    MAX_NUMBER,
     MAX_OUTPUT_BYTES,
     MIN_OUTPUT_BYTES,
     Transcript,
     output_limit,
 )
+from apricotvale.numerals import MAX_NUMBER
 
 VERSION_FIELD = "weight-versions"
 ENGINE = Upstream("e-1", 1, 1, "lm", "127.0.0.1:1", "a", 8, Standing.READY, models={"m": 1})
