--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -15,7 +15,7 @@
 from tests.platform_site import HOST, Site
 
 CALLERS = 200
-STOP_AFTER_S = 0.6
+READY_TIMEOUT_S = 15.0
 
 
 @pytest.fixture
@@ -109,6 +109,13 @@
     writer.close()
 
 
+async def wait_until_answered(outcomes, count):
+    """Wait until callers have had some answers, however busy the machine is."""
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while outcomes[200] < count:
+            await asyncio.sleep(0.02)
+
+
 @pytest.mark.parametrize("half_head", [False, True])
 async def test_callers_on_kept_connections_are_answered_and_told(site, entry, half_head):
     """Guards against requests that are cut off because they were accepted just before the stop."""
@@ -119,12 +126,11 @@
         asyncio.create_task(call_until_closed(entry, n, outcomes, half_head))
         for n in range(CALLERS)
     ]
-    await asyncio.sleep(STOP_AFTER_S)
+    await wait_until_answered(outcomes, 2 * CALLERS)
     entry.stop.set()
     await asyncio.gather(*callers)
     assert set(outcomes) <= {200, 503, "told"}, outcomes
     assert outcomes["told"] == CALLERS
-    assert outcomes[200] > CALLERS
 
 
 async def test_requests_that_run_when_the_stop_comes_are_finished(site, entry):
@@ -207,9 +213,8 @@
     """Guards against operators and upstreams whose calls end in the middle of an answer."""
     outcomes = Counter()
     callers = [asyncio.create_task(read_config_until_closed(replica, outcomes)) for _ in range(60)]
-    await asyncio.sleep(STOP_AFTER_S)
+    await wait_until_answered(outcomes, 120)
     replica.stop.set()
     await asyncio.gather(*callers)
-    assert outcomes[200] > 60
     assert outcomes["cut"] == outcomes["TimeoutError"] == 0
     assert set(outcomes) <= {200, 503, "closed", "ConnectionResetError", "BrokenPipeError"}
