Search for engines once a pass while all are full, and pause after leader tasks

The small twin's control VMs have 0.3 cores; loop lags of 0.1 to 0.27 s were seen there (trial with probes), and with them changes of leader without any fault.

Ruled out: the registry, the batches' size (0.5 MB at most in steady state).

Change: an item that no engine can take, although it needs no memory and is never late, ends the search for its kind in this pass. A pause of three times the duration of a round follows each round of leader tasks, so that they take at most a quarter of the time.

The test fails on the old code (289 searches in a pass).

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -48,6 +48,8 @@
 LEADER_TASK_INTERVAL_S = 0.1
 # Changes that arrive within this time are handled in one round of leader tasks.
 COALESCE_S = 0.01
+# A pause of this many times the duration of a round follows it.
+TASK_PAUSE_FACTOR = 3.0
 TIMING = Timing(heartbeat_s=0.15, election_timeout_s=0.6)
 # A voter that has been silent for this long is replaced by a learner. The time is longer than a
 # restart of the process and shorter than the time that a replaced VM has to catch up.
@@ -564,7 +566,11 @@
         return leads and lease_over and self.leading_term == self.replica.node.term
 
     async def run_leader_tasks(self) -> None:
-        """Run the leader's tasks on each change of the state and at least once per period."""
+        """Run the leader's tasks on each change of the state and at least once per period.
+
+        Load pattern: on a VM with little processor time, tasks that ran on each of dozens of
+        changes per second would delay heartbeats until the followers elect another leader.
+        """
         while True:
             self.tasks_due.clear()
             now = clock.now()
@@ -575,7 +581,7 @@
                 self.stop_leading()
             if self.leading_term:
                 self.run_due_tasks(now)
-            await asyncio.sleep(COALESCE_S)
+            await asyncio.sleep(max(COALESCE_S, TASK_PAUSE_FACTOR * (clock.now() - now)))
             await wait_event(self.tasks_due, LEADER_TASK_INTERVAL_S)
 
     async def save_progress(self) -> None:
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -202,7 +202,12 @@
         return self.capacity.refuse(job, self.state.jobs.open_records(), self.table, now)
 
     def start_items(self, waiting: list[WaitingItem], now: float) -> None:
-        """Start items in their order; one that no engine can take does not hold up smaller ones."""
+        """Start items in their order; one that no engine can take does not hold up smaller ones.
+
+        Load pattern: hundreds of items wait while all engines are full. A search for each of them
+        in each pass would take most of the leader's processor time.
+        """
+        # The memory that an item of a kind was refused for, 0 if no item of the kind can start.
         refused: dict[tuple[str, str, int], int] = {}
         for candidate in waiting:
             job, item, route = candidate.job, candidate.item, candidate.route
@@ -213,7 +218,8 @@
                 continue
             engine = self.select_engine(route, job, item, now)
             if engine is None:
-                refused[kind] = demand.memory_tokens
+                has_slot = kind in refused or self.has_slot(route, job, item, now)
+                refused[kind] = demand.memory_tokens if has_slot else 0
                 continue
             run = self.waiting.pop(key, None) or self.create_run(job, item)
             run.engine, run.started_at, run.move_requested = engine, now, False
@@ -354,6 +360,11 @@
         leaving = self.forwarder.view.leaving
         return self.pool.choose(found, job, item, demand, now, memory_tokens, may_wait, leaving)
 
+    def has_slot(self, route: Route, job: Job, item: Item, now: float) -> bool:
+        """Return whether an engine could take an item that needs no memory and is never late."""
+        demand = Demand(job.model, job.min_version)
+        return self.find_engine(route, job, item, now, demand) is not None
+
     def engines_of(self, route: Route, now: float) -> ServiceEngines:
         """Return the engines of a route's services."""
         run_s = self.run_time.seconds_per_token
--- a/tests/test_placement_under_load.py
+++ b/tests/test_placement_under_load.py
@@ -11,7 +11,7 @@
 from attrs import define, evolve, field
 
 from apricotvale.daemons.forwarder import Forwarder
-from apricotvale.daemons.job_runner import JobRunner
+from apricotvale.daemons.job_runner import JobRunner, demand_of
 from apricotvale.discovery import RegistryView, Standing, Upstream
 from apricotvale.engines.priority import run_priority, service_priorities, urgency_class
 from apricotvale.engines.speed import EngineSpeed, ServiceSpeed
@@ -402,6 +402,41 @@
         assert registry.announce(engine, registry.state.position + 1)
 
 
+def test_full_engines_are_searched_once_a_pass(runner, monkeypatch):
+    """Load pattern: all engines are full and hundreds of items wait, each a bit smaller."""
+    items = tuple(evolve(LONG, item_id=f"i-{n}", tokens=6_600 - n) for n in range(300))
+    runner.state.jobs.accept(evolve(JOB, job_id="j-2", items=items), 2)
+    runner.tick(10.0)
+    assert len(runner.runs) == 12
+    search, searches = runner.find_engine, []
+
+    def find_engine(*args, **kwargs):
+        searches.append(args[2].item_id)
+        return search(*args, **kwargs)
+
+    monkeypatch.setattr(runner, "find_engine", find_engine)
+    runner.tick(10.05)
+    assert len(runner.runs) == 12
+    assert len(searches) <= 2
+    runner.runs["j-1", "long"].engine = None
+    runner.usages["e-1@1"].end(demand_of(JOB, LONG))
+    del runner.runs["j-1", "long"]
+    runner.tick(10.1)
+    assert len(runner.runs) == 12
+
+
+def test_smaller_items_start_beside_one_without_memory(runner, monkeypatch):
+    """Guards against an item for which the memory is short and that holds up all others."""
+    monkeypatch.setattr(runner, "memory_tokens", lambda service: 10_000)
+    little = evolve(LONG, tokens=80, expected_tokens=70, prompt_tokens=10, prompt_parts=())
+    small = tuple(evolve(little, item_id=f"i-{n}") for n in range(3))
+    large = tuple(evolve(LONG, item_id=f"l-{n}", expected_tokens=9_000) for n in range(4))
+    runner.state.jobs.accept(evolve(JOB, job_id="j-2", items=large + small), 2)
+    runner.tick(10.0)
+    assert {key[1] for key in runner.runs} >= {"i-0", "i-1", "i-2"}
+    assert len(runner.runs) < 8
+
+
 def test_runs_move_at_once_from_an_engine_that_leaves(runner):
     """Load pattern: an engine is announced to leave. Its long runs would be cut when it stops."""
     runner.tick(10.0)
