Let a control replica go on while its disk writes

Cause: the loop of a replica waited for each write. A disk that is slow for longer than an election had the same effect on any machine.

Change: `Node.take_ready` can be asked for what does not depend on the disk: messages to send at any time, committed entries, confirmed reads. The replica takes these while a write is in progress. Committed entries are applied before the replica's own write ends: a majority has them on disk.

Ruled out: writes one after the other without waiting (a queue of its own); longer election timeouts, which lengthen each real loss.

Tests: the simulated replicas have disks that take time; 30 walks and 300 single faults hold with them, and a bug that sends dependent messages at once is found.

--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -1,7 +1,8 @@
 """Raft state machine of one replica, without network, disk or clock access.
 
-The owner passes in messages and the time, then takes a `Ready`. It sends `messages` at any time,
-persists the records, calls `synced`, and only then sends `messages_after_sync`.
+The owner passes in messages and the time, then takes a `Ready`. It sends `messages` and applies the
+committed entries at any time, persists the records, calls `synced`, and only then sends
+`messages_after_sync`. While it persists them it may take what does not depend on the disk.
 """
 
 from __future__ import annotations
@@ -684,21 +685,36 @@
         if self.role is Role.LEADER:
             self.advance_commit()
 
-    def take_ready(self, now: float) -> Ready:
-        """Return and clear the pending work; a leader first broadcasts if that is due."""
+    def take_ready(self, now: float, disk_is_busy: bool = False) -> Ready:
+        """Return and clear the pending work; a leader first broadcasts if that is due.
+
+        :param disk_is_busy: the records of an earlier call are still being written. What has to
+            wait for the disk stays pending then: records, a snapshot, and the messages that depend
+            on either.
+        """
         if self.role is Role.LEADER and (
             self.has_confirmable_reads() or self.broadcast_pending or self.has_unsent_entries()
         ):
             self.broadcast_pending = False
             self.broadcast(now)
+        waiting = Ready()
+        if disk_is_busy:
+            waiting = Ready(
+                records=self.ready.records,
+                messages_after_sync=self.ready.messages_after_sync,
+                snapshot=self.ready.snapshot,
+            )
+            self.ready.records, self.ready.messages_after_sync = [], []
+            self.ready.snapshot = None
         first = self.applied_index + 1
-        if self.commit_index >= first:
+        # Entries after a snapshot can be applied once it is installed.
+        if self.commit_index >= first and waiting.snapshot is None:
             self.ready.committed = self.log.slice(first, self.commit_index)
             self.applied_index = self.commit_index
             if self.role is Role.LEADER:
                 self.confirm_reads()
         ready = self.ready
-        self.ready = Ready()
+        self.ready = waiting
         return ready
 
     def has_confirmable_reads(self) -> bool:
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -30,7 +30,7 @@
     Snapshot,
 )
 from apricotvale.consensus.node import Node
-from apricotvale.consensus.storage import Storage, Stored
+from apricotvale.consensus.storage import Record, Storage, Stored
 from apricotvale.consensus.types import NotLeader, Ready, Role, Timing
 from apricotvale.daemons.peers import PEER_TIMEOUT_S, PeerLink, Peers
 from apricotvale.daemons.runtime import TaskGroup
@@ -279,14 +279,19 @@
         while True:
             if not self.events and not self.node.has_work():
                 await self.wait_for_events()
-            self.wake.clear()
-            now = clock.now()
-            self.node.tick(now)
-            while self.events:
-                self.handle_event(self.events.popleft(), now)
+            now = self.handle_events()
             await self.process_ready(self.node.take_ready(now))
             self.log_changes()
 
+    def handle_events(self) -> float:
+        """Feed the queued events and the time to the node; return the time."""
+        self.wake.clear()
+        now = clock.now()
+        self.node.tick(now)
+        while self.events:
+            self.handle_event(self.events.popleft(), now)
+        return now
+
     async def wait_for_events(self) -> None:
         """Wait for an event, the node's next timer or `MAX_EVENT_WAIT_S`."""
         loop = asyncio.get_running_loop()
@@ -346,17 +351,43 @@
     async def process_ready(self, ready: Ready) -> None:
         """Process the node's pending work.
 
-        Sends `messages`, persists the records, sends the messages that depend on the
-        records being on disk, then applies the committed entries and answers reads.
+        Sends `messages`, applies the committed entries, answers reads and persists the records,
+        then sends the messages that depend on the records being on disk.
         """
         self.send_messages(ready.messages)
         if ready.snapshot is not None:
             await self.install_snapshot(ready.snapshot)
+        self.finish_committed(ready)
         if ready.records:
-            last_index, last_term = self.node.log.last_index, self.node.log.last_term
-            await self.run_on_disk(partial(self.storage.append, ready.records))
-            self.node.synced(last_index, last_term)
+            await self.write_records(ready.records)
         self.send_messages(ready.messages_after_sync)
+        if (
+            self.applied_bytes > SNAPSHOT_AFTER_BYTES
+            or self.applied_entries > SNAPSHOT_AFTER_ENTRIES
+        ):
+            await self.save_snapshot()
+
+    async def write_records(self, records: list[Record]) -> None:
+        """Persist records, and meanwhile process what does not depend on them.
+
+        Load pattern: a slow disk, or little processor time for the thread that writes. A leader
+        that sent no heartbeats during a write would lose its office to it.
+        """
+        last_index, last_term = self.node.log.last_index, self.node.log.last_term
+        loop = asyncio.get_running_loop()
+        write = loop.run_in_executor(self.disk_thread, partial(self.storage.append, records))
+        write.add_done_callback(lambda _: self.wake.set())
+        while not write.done():
+            await self.wait_for_events()
+            ready = self.node.take_ready(self.handle_events(), disk_is_busy=True)
+            self.send_messages(ready.messages)
+            self.finish_committed(ready)
+            self.log_changes()
+        write.result()
+        self.node.synced(last_index, last_term)
+
+    def finish_committed(self, ready: Ready) -> None:
+        """Apply committed entries and answer reads."""
         self.apply_entries(ready.committed)
         for ticket in ready.reads:
             resolve(self.reads.pop(ticket, None), True)
@@ -364,11 +395,6 @@
             resolve(self.reads.pop(ticket, None), False)
         if self.node.role is not Role.LEADER and self.proposals:
             self.fail_pending()
-        if (
-            self.applied_bytes > SNAPSHOT_AFTER_BYTES
-            or self.applied_entries > SNAPSHOT_AFTER_ENTRIES
-        ):
-            await self.save_snapshot()
 
     async def run_on_disk(self, work: Callable[[], T]) -> T:
         """Run a disk operation outside the event loop; return its result."""
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -114,6 +114,20 @@
         return self.faults.get(len(self.kinds) - 1)
 
 
+@define
+class Write:
+    """A write in progress.
+
+    :param last: index and term of the last entry of the log when it began.
+    :param messages: messages that depend on the records being on disk.
+    """
+
+    records: list
+    last: tuple
+    messages: list
+    ends_at: float = 0.0
+
+
 @define
 class Host:
     """One replica and its disk."""
@@ -128,6 +142,7 @@
     results: dict = field(factory=dict)
     reads: dict = field(factory=dict)
     inbox: list = field(factory=list)
+    write: Write | None = None
 
 
 @define
@@ -146,7 +161,10 @@
 
 
 class Replicas:
-    """A group of replicas with its clients, network and injected faults."""
+    """A group of replicas with its clients, network and injected faults.
+
+    :param max_write_s: longest time of a write; 0 for writes that take no time.
+    """
 
     def __init__(
         self,
@@ -157,8 +175,10 @@
         policy=None,
         make_state=ControlState,
         command=c.Command,
+        max_write_s=0.0,
     ):
         self.now = 0.0
+        self.max_write_s = max_write_s
         self.make_state = make_state
         self.command = command
         self.policy = policy
@@ -202,6 +222,7 @@
             self.policy,
         )
         host.results, host.reads, host.inbox = {}, {}, []
+        host.write = None
 
     def crash(self, host, down_s=RESTART_DELAY_S):
         """Crash a replica's process and restart it after `down_s`."""
@@ -311,13 +332,23 @@
     def process_ready(self, host):
         """Persist, send and apply as the daemon does, with injected faults."""
         try:
-            while host.node is not None and host.node.has_work():
+            if host.write is not None and self.now >= host.write.ends_at:
+                self.end_write(host)
+            while self.is_idle(host) and host.node.has_work():
                 self.apply_ready(host, host.node.take_ready(self.now))
-            if host.node is not None:
+            if self.is_idle(host):
                 self.apply_ready(host, host.node.take_ready(self.now))
+            if host.node is not None and host.write is not None:
+                ready = host.node.take_ready(self.now, disk_is_busy=True)
+                for message in ready.messages:
+                    self.send(host, message)
+                self.finish_committed(host, ready)
         except (Crash, DiskError):
             self.crash(host)
 
+    def is_idle(self, host):
+        return host.node is not None and host.write is None
+
     def apply_ready(self, host, ready):
         for message in ready.messages:
             self.send(host, message)
@@ -325,14 +356,29 @@
             host.storage.save_snapshot(ready.snapshot, host.node.hard_state, [])
             parts = host.storage.load_parts(ready.snapshot)
             host.state.restore(ready.snapshot.state, parts)
+        self.finish_committed(host, ready)
         if ready.records:
             last = (host.node.log.last_index, host.node.log.last_term)
-            kinds = "+".join(type(record).__name__ for record in ready.records[:2])
-            host.disk.next_append = self.injector.next_fault("write", kinds)
-            host.storage.append(ready.records)
-            host.node.synced(*last)
-        for message in ready.messages_after_sync:
+            host.write = Write(ready.records, last, ready.messages_after_sync)
+            if self.max_write_s:
+                host.write.ends_at = self.now + self.max_write_s * self.rng.random()
+            else:
+                self.end_write(host)
+        else:
+            for message in ready.messages_after_sync:
+                self.send(host, message)
+
+    def end_write(self, host):
+        """Persist the records of the write in progress, then send what waited for it."""
+        write, host.write = host.write, None
+        kinds = "+".join(type(record).__name__ for record in write.records[:2])
+        host.disk.next_append = self.injector.next_fault("write", kinds)
+        host.storage.append(write.records)
+        host.node.synced(*write.last)
+        for message in write.messages:
             self.send(host, message)
+
+    def finish_committed(self, host, ready):
         for entry in ready.committed:
             result = host.state.apply(entry)
             host.results[entry.index, entry.term] = result
@@ -375,7 +421,9 @@
         self.bus.append((self.now + delay, self.sequence, source, message))
 
     def compact(self, host):
-        """Save a snapshot as the daemon does."""
+        """Save a snapshot as the daemon does, after a write in progress."""
+        if host.write is not None:
+            self.end_write(host)
         node = host.node
         index = node.applied_index
         entry = node.log.slice(index, index)[0]
--- a/tests/test_consensus_faults.py
+++ b/tests/test_consensus_faults.py
@@ -4,16 +4,22 @@
 
 import itertools
 import random
+from functools import partial
 
 import pytest
 
+from apricotvale.consensus.node import Node
 from apricotvale.fleet.commands import Applied
 from apricotvale.fleet.state import FleetState, TableState
 from apricotvale.jobs import JobStore
+from tests import operations
 from tests.operations import OPERATIONS, RESULT_HELD, faults_for, run_with, steps_of
+from tests.replicas import Replicas
 
 PAIRS_IN_CI = 150
 PAIR_SEED = 11
+MAX_WRITE_S = 0.1
+FAULTS_WITH_SLOW_DISKS = 100
 
 
 def single_faults(name):
@@ -31,6 +37,34 @@
     assert not failures
 
 
+@pytest.fixture
+def slow_disks(monkeypatch):
+    monkeypatch.setattr(operations, "Replicas", partial(Replicas, max_write_s=MAX_WRITE_S))
+
+
+@pytest.mark.parametrize("name", ["election", "fleet", "open group, disk lost"])
+def test_operation_holds_under_single_faults_while_disks_are_slow(slow_disks, name):
+    chosen = random.Random(PAIR_SEED).sample(single_faults(name), FAULTS_WITH_SLOW_DISKS)
+    failures = {}
+    for fault in chosen:
+        result = run_with(OPERATIONS[name], [fault])
+        if result != RESULT_HELD:
+            failures[fault] = result
+    assert not failures
+
+
+def send_before_sync(self, message, before_sync=False):
+    """Bug: no message waits until the records that it depends on are on disk."""
+    self.ready.messages.append(message)
+
+
+def test_messages_that_do_not_wait_for_a_slow_disk_are_found(slow_disks, monkeypatch):
+    monkeypatch.setattr(Node, "send", send_before_sync)
+    name = "fleet"
+    results = {run_with(OPERATIONS[name], [fault]) for fault in single_faults(name)}
+    assert results != {RESULT_HELD}
+
+
 PAIRED_OPERATIONS = [
     "config race",
     "election",
--- a/tests/test_open_group_walks.py
+++ b/tests/test_open_group_walks.py
@@ -19,6 +19,7 @@
 RESTART_DELAYS_S = (0.0, 0.3, 0.6, 3.0)
 OUTAGES_S = (1.0, 2.0, 7.4)
 LOSS_RATES = (0.0, 0.0, 0.05)
+MAX_WRITE_S = 0.3
 MAX_EXTRA_DELAYS_S = (0.002, 0.05, 0.2)
 
 
@@ -55,9 +56,10 @@
 class Walk:
     """One random walk; `run` raises AssertionError with the fault that was not tolerated."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, max_write_s=0.0):
         self.rng = random.Random(seed)
         self.group = open_group(seed)
+        self.group.max_write_s = max_write_s
         self.version = 0
         self.loss_rate = self.rng.choice(LOSS_RATES)
         self.max_extra_delay_s = self.rng.choice(MAX_EXTRA_DELAYS_S)
@@ -106,6 +108,11 @@
     Walk(seed).run()
 
 
+@pytest.mark.parametrize("seed", range(WALKS_IN_CI))
+def test_the_group_recovers_from_successive_faults_with_slow_disks(seed):
+    Walk(seed, MAX_WRITE_S).run()
+
+
 def promote_no_learner(view):
     """Bug: no learner is promoted."""
     del view
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import json
+import time
 
 import pytest
 
 from apricotvale.consensus import log
 from apricotvale.daemons import fleet_link, replica
+from apricotvale.daemons.fleet_control import TIMING
 from apricotvale.discovery import Standing
 from apricotvale.platform import names
 from tests.platform_site import Site, item, job, table
@@ -49,6 +51,24 @@
     assert json.loads(stored)["version"] == 1
 
 
+async def test_a_leader_with_a_slow_disk_stays_the_leader(site, monkeypatch):
+    """Load pattern: writes take longer than an election; the other replicas have the entries."""
+    i, leader = next((i, c) for i, c in enumerate(site.controls) if c.replica.leads)
+    term, append = leader.replica.node.term, leader.replica.storage.append
+
+    def append_slowly(records):
+        time.sleep(3 * TIMING.election_timeout_s)
+        append(records)
+
+    monkeypatch.setattr(leader.replica.storage, "append", append_slowly)
+    started = time.monotonic()
+    for version in (2, 3):
+        assert await site.put_table(table(version), at=i) == 200
+    assert time.monotonic() - started < 3 * TIMING.election_timeout_s
+    await asyncio.sleep(3 * TIMING.election_timeout_s)
+    assert (leader.replica.leads, leader.replica.node.term) == (True, term)
+
+
 async def test_concurrent_tables_leave_the_highest_version_in_force(site):
     statuses = await asyncio.gather(
         *(site.put_table(table(version), at=version % 3) for version in range(10, 18))
