Count bytes between processes by kind, disk writes and the cost of a start

Now in the metrics: bytes of messages to own processes by kind, time of a control replica's writes, processor time from the start to the open port. Not counted: the failure domain at the other end.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -163,6 +163,7 @@
             work = (self.replica.run(), self.run_leader_tasks(), self.save_progress())
             needed = [tasks.start(part) for part in work]
             events.emit(events.STARTED, listen=self.settings.internal_address)
+            metrics.record_start()
             await wait_until_stopped(stop, *needed)
             await self.transfer_leadership()
             server.close()
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -15,7 +15,7 @@
 from attrs import define, frozen
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
-from apricotvale import clock, events
+from apricotvale import clock, events, metrics
 from apricotvale.codec import decode, encode
 from apricotvale.consensus.calls import JoinProbe, PartRead, PeerBatch, ProbeReply, ReadPart
 from apricotvale.consensus.messages import (
@@ -377,12 +377,13 @@
         loop = asyncio.get_running_loop()
         write = loop.run_in_executor(self.disk_thread, partial(self.storage.append, records))
         write.add_done_callback(lambda _: self.wake.set())
-        while not write.done():
-            await self.wait_for_events()
-            ready = self.node.take_ready(self.handle_events(), disk_is_busy=True)
-            self.send_messages(ready.messages)
-            self.finish_committed(ready)
-            self.log_changes()
+        with metrics.WRITE_SECONDS.time():
+            while not write.done():
+                await self.wait_for_events()
+                ready = self.node.take_ready(self.handle_events(), disk_is_busy=True)
+                self.send_messages(ready.messages)
+                self.finish_committed(ready)
+                self.log_changes()
         write.result()
         self.node.synced(last_index, last_term)
 
--- a/src/apricotvale/daemons/rpc.py
+++ b/src/apricotvale/daemons/rpc.py
@@ -17,7 +17,7 @@
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server, Stream
 
-from apricotvale import events
+from apricotvale import events, metrics
 from apricotvale.codec import encode, pack, unpack
 from apricotvale.consensus.calls import Delivered, Interface, PeerBatch
 
@@ -41,8 +41,11 @@
         The large entries in batches of peer messages are compressed already.
         """
         if message_type is PeerBatch:
-            return encode(message, message_type)
-        return pack(message, message_type)
+            data = encode(message, message_type)
+        else:
+            data = pack(message, message_type)
+        metrics.MESSAGE_BYTES.labels(type(message).__name__).inc(len(data))
+        return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """Deserialize a message of the given type or union."""
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import statsd
 from aiohttp import web
 from prometheus_client import Counter, Gauge, Histogram, generate_latest
@@ -30,6 +32,15 @@
 COMMIT_SECONDS = Histogram(
     "apricotvale_commit_seconds", "From a command to its result.", buckets=BUCKETS_S
 )
+WRITE_SECONDS = Histogram(
+    "apricotvale_write_seconds", "Writes of a control replica to its disk.", buckets=BUCKETS_S
+)
+MESSAGE_BYTES = Counter(
+    "apricotvale_message_bytes", "Bytes of messages sent to own processes, by kind.", ["kind"]
+)
+START_PROCESSOR_SECONDS = Gauge(
+    "apricotvale_start_processor_seconds", "Processor time from the start to the open port."
+)
 IS_LEADER = Gauge("apricotvale_leads", "Whether this replica leads.")
 JOB_BYTES = Gauge(
     "apricotvale_job_bytes", "Bytes of jobs and results held, as of the last new job."
@@ -72,6 +83,11 @@
 METRICS_PATH = "/metrics"
 
 
+def record_start() -> None:
+    """Record that this process has opened its port."""
+    START_PROCESSOR_SECONDS.set(time.process_time())
+
+
 def make_app() -> web.Application:
     """Return an application that serves the metrics in the Prometheus text format."""
 
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -41,6 +41,7 @@
             HttpServer(interface.make_app(), settings.requests, decode_bodies=False)
         )
         events.emit(events.STARTED, listen=settings.requests)
+        metrics.record_start()
         install_reload_handler(lambda: reload(entry.apply_settings))
         await entry.run(stop)
         await server.stop_accepting()
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -15,6 +15,7 @@
 import pytest
 from attrs import frozen
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
+from prometheus_client import REGISTRY
 
 from apricotvale.consensus.calls import Interface, PeerBatch, Redirect
 from apricotvale.consensus.messages import AppendRequest, Entry, EntryKind, JoinRequest
@@ -156,6 +157,18 @@
     await server.wait_closed()
 
 
+async def test_bytes_of_messages_are_counted_by_kind(echo_address):
+    def sent_bytes(kind):
+        return REGISTRY.get_sample_value("apricotvale_message_bytes_total", {"kind": kind}) or 0.0
+
+    before = sent_bytes("EchoRequest"), sent_bytes("Redirect")
+    client = RpcClient(echo_address, ECHO)
+    await client.call(EchoRequest(5_000, os.urandom(3_000)), 1.0)
+    client.close()
+    assert 3_000 < sent_bytes("EchoRequest") - before[0] < 3_100
+    assert 2_500 < sent_bytes("Redirect") - before[1] < 5_100
+
+
 @pytest.mark.parametrize(
     "request_bytes, reply_bytes", [(8_000_000, 0), (0, 8_000_000)], ids=["request", "reply"]
 )
