Test the port between processes with broken bytes

Recorded requests and relayed answers with one random change each (cut, extended, repeated, replaced, noise), 100 cases a side: other callers are served, and each call ends with an answer or a typed error. No fault found.

--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -10,11 +10,12 @@
 import random
 import socket
 import time
+from collections import Counter
 from contextlib import suppress
 
 import pytest
 from attrs import frozen
-from grpclib.exceptions import ProtocolError, StreamTerminatedError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from prometheus_client import REGISTRY
 
 from apricotvale.consensus.calls import Interface, PeerBatch, Redirect
@@ -24,10 +25,12 @@
 from apricotvale.daemons.link import ControlClient
 from apricotvale.daemons.peers import PeerLink, payload_bytes
 from apricotvale.daemons.rpc import ControlService, RpcClient, make_server, run_in_own_task
+from apricotvale.exceptions import MessageError
 from apricotvale.outcomes import Ran, Reason
 from scripts.ports import free_address
 
 READY_TIMEOUT_S = 10.0
+BROKEN_CASES = 100
 PAYLOAD = b"x" * 512 * 1024
 
 
@@ -282,3 +285,111 @@
     sender.cancel()
     link.client.close()
     listener.close()
+
+
+# Bytes that are no messages
+
+
+def broken(data, rng):
+    """Return bytes with one random change: cut, extended, repeated, or with some bytes replaced."""
+    at = rng.randrange(len(data))
+    change = rng.choice(["cut", "extend", "repeat", "replace", "noise"])
+    if change == "cut":
+        return data[:at]
+    if change == "extend":
+        return data[:at] + rng.randbytes(rng.randrange(1, 500)) + data[at:]
+    if change == "repeat":
+        return data + data[at:]
+    if change == "replace":
+        length = rng.randrange(1, 20)
+        return data[:at] + rng.randbytes(length) + data[at + length :]
+    return rng.randbytes(rng.randrange(1, 2_000))
+
+
+async def record_bytes(address, act):
+    """Return the bytes that a client sends first while `act` runs a call to a silent server."""
+    received = bytearray()
+
+    async def on_connection(reader, writer):
+        with suppress(ConnectionError):
+            while data := await reader.read(65_536):
+                received.extend(data)
+
+    host, _, port = address.rpartition(":")
+    async with await asyncio.start_server(on_connection, host, int(port)):
+        with suppress(TimeoutError, StreamTerminatedError):
+            await act()
+    return bytes(received)
+
+
+async def test_broken_requests_disturb_no_other_caller(echo_address):
+    """Guards against bytes on the internal port that end the process or block its other callers."""
+    own_address = free_address()
+    client = RpcClient(own_address, ECHO)
+    data = await record_bytes(own_address, lambda: client.call(EchoRequest(10, b"body"), 0.2))
+    client.close()
+    assert data.startswith(b"PRI * HTTP/2.0")
+    host, _, port = echo_address.rpartition(":")
+    other, rng = RpcClient(echo_address, ECHO), random.Random(5)
+    for _ in range(BROKEN_CASES):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(broken(data, rng))
+        with suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(0.02):
+                await reader.read(65_536)
+        assert await other.call(EchoRequest(10, b""), 2.0) == Redirect(random_text(10))
+        writer.close()
+    other.close()
+
+
+async def test_broken_answers_end_the_call_with_a_typed_error():
+    """Guards against an answer of a peer that is taken for a sound one, or ends a task."""
+    server_bytes = bytearray()
+    rng = random.Random(7)
+
+    async def on_call(request):
+        return Redirect(random_text(400))
+
+    server = make_server(ControlService(on_call, lambda batch: None, ECHO))
+    address, relay_address = free_address(), free_address()
+    host, _, port = address.rpartition(":")
+    await server.start(host, int(port))
+
+    async def copy(reader, writer):
+        with suppress(ConnectionError):
+            while data := await reader.read(65_536):
+                writer.write(data)
+        writer.close()
+
+    async def relay(reader, writer):
+        up_reader, up_writer = await asyncio.open_connection(host, int(port))
+        sending = asyncio.create_task(copy(reader, up_writer))
+        with suppress(ConnectionError):
+            while data := await up_reader.read(65_536):
+                server_bytes.extend(data)
+                writer.write(broken(data, rng))
+        await sending
+        writer.close()
+
+    relay_host, _, relay_port = relay_address.rpartition(":")
+    outcomes = Counter()
+    async with await asyncio.start_server(relay, relay_host, int(relay_port)):
+        for _ in range(BROKEN_CASES):
+            client = RpcClient(relay_address, ECHO)
+            try:
+                reply = await client.call(EchoRequest(400, b""), 0.1)
+                assert isinstance(reply, Redirect)
+                outcomes["answered"] += 1
+            except (
+                OSError,
+                GRPCError,
+                ProtocolError,
+                StreamTerminatedError,
+                MessageError,
+            ) as error:
+                outcomes[type(error).__name__] += 1
+            finally:
+                client.close()
+    server.close()
+    await server.wait_closed()
+    assert sum(outcomes.values()) == BROKEN_CASES and len(outcomes) > 2, outcomes
