--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -167,7 +167,7 @@
 
     before = sent_bytes("EchoRequest"), sent_bytes("Redirect")
     client = RpcClient(echo_address, ECHO)
-    await client.call(EchoRequest(5_000, os.urandom(3_000)), 1.0)
+    await client.call(EchoRequest(5_000, os.urandom(3_000)), READY_TIMEOUT_S)
     client.close()
     assert 3_000 < sent_bytes("EchoRequest") - before[0] < 3_100
     assert 2_500 < sent_bytes("Redirect") - before[1] < 5_100
@@ -183,10 +183,10 @@
     monkeypatch.setattr(rpc, "MAX_RECEIVED_BYTES", 1_000_000)
     client, other = (RpcClient(echo_address, ECHO) for _ in range(2))
     small = EchoRequest(10, b"")
-    assert await other.call(small, 1.0) == Redirect(random_text(10))
-    with pytest.raises((OSError, ProtocolError, StreamTerminatedError)):
-        await client.call(EchoRequest(reply_bytes, os.urandom(request_bytes)), 1.0)
-    assert await other.call(small, 1.0) == Redirect(random_text(10))
+    assert await other.call(small, READY_TIMEOUT_S) == Redirect(random_text(10))
+    with pytest.raises((ConnectionError, ProtocolError, StreamTerminatedError)):
+        await client.call(EchoRequest(reply_bytes, os.urandom(request_bytes)), READY_TIMEOUT_S)
+    assert await other.call(small, READY_TIMEOUT_S) == Redirect(random_text(10))
     client.close()
     other.close()
 
@@ -338,7 +338,7 @@
         with suppress(TimeoutError, ConnectionError):
             async with asyncio.timeout(0.02):
                 await reader.read(65_536)
-        assert await other.call(EchoRequest(10, b""), 2.0) == Redirect(random_text(10))
+        assert await other.call(EchoRequest(10, b""), READY_TIMEOUT_S) == Redirect(random_text(10))
         writer.close()
     other.close()
 
