Read the limit that an upstream names, and log it

An upstream in need names in its answers how many requests a second it takes from all processes together. No process read it, and neither logs nor metrics told whether a limit was in force or who sent requests beyond it.

Event 355 (limit-stated) now says when an upstream named, changed or ended its limit, as seen by one process, with the position of its view; the counter apricotvale_limited_sends counts what this process sends meanwhile, requests and runs apart. Decisions are unchanged.

Answers overtake each other, so an end or a rise counts only from the answer to a request that was sent after the limit was last heard of. An answer that is not signed, belongs to another request or comes from another incarnation says nothing.

--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -178,6 +178,7 @@
             # Other requests were sent after this upstream was chosen.
             return not_run(Reason.OVERLOADED, "too many bytes are in flight to the upstream")
         started_at = clock.now()
+        self.count_limited(upstream, "request")
         self.router.begin(upstream)
         self.sent.begin(upstream.incarnation, size)
         try:
@@ -185,7 +186,7 @@
         finally:
             self.sent.end(upstream.incarnation, size)
             self.router.end(upstream)
-        self.note_leaving(upstream, result)
+        self.note_statements(upstream, result, started_at)
         outcome = result.reason if isinstance(result, Refusal) else str(result.status)
         metrics.ATTEMPTS_TOTAL.labels(outcome).inc()
         if not isinstance(result, Refusal):
@@ -211,10 +212,32 @@
         """Return whether the upstream stated to this process that it leaves."""
         return upstream.incarnation in self.view.leaving
 
-    def note_leaving(self, upstream: Upstream, result: Answer | RunStream | Refusal) -> None:
-        """Report an upstream whose result states that it leaves."""
+    def count_limited(self, upstream: Upstream, kind: str) -> None:
+        """Count a request to an upstream with a known limit."""
+        if self.view.limits.rate_of(upstream.incarnation) is not None:
+            metrics.LIMITED_SENDS.labels(kind).inc()
+
+    def note_statements(
+        self, upstream: Upstream, result: Answer | RunStream | Refusal, sent_at: float
+    ) -> None:
+        """Record what a result states about its upstream: that it leaves, and its limit.
+
+        :param sent_at: when the request was sent, in monotonic seconds.
+        """
         if result.is_leaving:
             self.on_leaving(upstream)
+        if result.limit is None:
+            return
+        known = self.view.limits.rate_of(upstream.incarnation)
+        if self.view.limits.record(upstream.incarnation, result.limit, sent_at, clock.now()):
+            events.emit(
+                events.LIMIT_STATED,
+                upstream=upstream.incarnation,
+                service=upstream.service,
+                rate=result.limit.rate,
+                before=known,
+                view=self.view.position,
+            )
 
     def final_result(self, request: ForwardedRequest, call: Call, now: float) -> Answer | Refusal:
         """Return the result of a request whose attempts gave no final answer; log a refusal."""
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -471,8 +471,9 @@
         try:
             if self.forwarder.is_leaving(engine):
                 return None
+            self.forwarder.count_limited(engine, "run")
             async with self.client.run(engine, request) as stream:
-                self.forwarder.note_leaving(engine, stream)
+                self.forwarder.note_statements(engine, stream, sent_at)
                 if isinstance(stream, Answer):
                     return self.handle_error_answer(route, run, engine, usage, stream)
                 if isinstance(stream, Refusal):
--- a/src/apricotvale/discovery/registry.py
+++ b/src/apricotvale/discovery/registry.py
@@ -6,6 +6,8 @@
 
 from attrs import define, evolve, field, frozen
 
+from apricotvale.limits.known import KnownLimits
+
 # Departure records kept to reject late heartbeats and to compute deltas; a reader that is behind
 # the oldest one gets the full registry.
 MAX_DEPARTED = 512
@@ -263,11 +265,13 @@
 
     :param leaving: incarnations that stated to this process that they leave. They get no new
         work here, whatever control knows of them, until they are removed.
+    :param limits: limits that upstreams named to this process.
     """
 
     position: int = -1
     upstreams: dict[str, Upstream] = field(factory=dict)
     leaving: set[str] = field(factory=set)
+    limits: KnownLimits = field(factory=KnownLimits)
 
     def apply(self, delta: UpstreamDelta) -> None:
         """Apply a delta; a delta older than the view is ignored."""
@@ -280,8 +284,10 @@
         for upstream_id in delta.removed:
             self.upstreams.pop(upstream_id, None)
         self.position = delta.position
-        if self.leaving:
-            self.leaving &= {upstream.incarnation for upstream in self.upstreams.values()}
+        if self.leaving or self.limits.by_incarnation:
+            incarnations = {upstream.incarnation for upstream in self.upstreams.values()}
+            self.leaving &= incarnations
+            self.limits.retain(incarnations)
 
     def mark_leaving(self, incarnation: str) -> bool:
         """Mark an incarnation as leaving; return whether it was not marked before."""
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -158,6 +158,12 @@
 LEAVING_COMMITTED = event(
     351, "leaving-committed", "INFO", "Control marked an upstream as leaving, with the outcome."
 )
+LIMIT_STATED = event(
+    355,
+    "limit-stated",
+    "INFO",
+    "An upstream named, changed or ended its limit in an answer, with the requests in a second.",
+)
 BYTES_REFUSED = event(
     352,
     "bytes-refused",
--- /dev/null
+++ b/src/apricotvale/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the requests that an upstream takes in a second from all processes together."""
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -25,6 +25,9 @@
     buckets=BUCKETS_S,
 )
 ATTEMPTS_TOTAL = Counter("apricotvale_attempts", "Sendings to upstreams.", ["outcome"])
+LIMITED_SENDS = Counter(
+    "apricotvale_limited_sends", "Requests sent to upstreams with a known limit, by kind.", ["kind"]
+)
 ITEMS_TOTAL = Counter("apricotvale_items", "Ends of runs of items.", ["outcome"])
 KEYS_REJECTED = Counter(
     "apricotvale_keys_rejected", "Requests refused because their key is missing or not known."
--- a/src/apricotvale/outcomes.py
+++ b/src/apricotvale/outcomes.py
@@ -6,6 +6,8 @@
 
 from attrs import frozen
 
+from apricotvale.limits.types import StatedLimit
+
 
 class Ran(StrEnum):
     """Whether a refused or failed request was executed at an upstream."""
@@ -79,6 +81,7 @@
     :param ran: whether the request was executed.
     :param retry_after_s: delay before the caller may retry, in seconds.
     :param is_leaving: whether the upstream stated in its answer that it leaves.
+    :param limit: what the upstream's answer says about its limit, None if that is not known.
     """
 
     reason: Reason
@@ -86,6 +89,7 @@
     detail: str = ""
     retry_after_s: float | None = None
     is_leaving: bool = False
+    limit: StatedLimit | None = None
 
     @property
     def status(self) -> int:
--- a/src/apricotvale/platform/answers.py
+++ b/src/apricotvale/platform/answers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import math
+
 import aiohttp
 
 from apricotvale import events, metrics
+from apricotvale.limits.types import StatedLimit
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run, unknown
 from apricotvale.platform import names
 from apricotvale.platform.connections import UpstreamConnection
@@ -41,6 +44,33 @@
     )
 
 
+def stated_limit(response: aiohttp.ClientResponse, request_id: str) -> StatedLimit | None:
+    """Return what an answer says about the upstream's limit, None if it says nothing.
+
+    An answer may belong to another request or come from another upstream at the address. That there
+    is no limit is taken from the signed answer to the request only.
+    """
+    answered_id = response.headers.get(names.REQUEST_ID, request_id)
+    if response.status == MISDIRECTED_STATUS or answered_id != request_id:
+        return None
+    text = response.headers.get(names.SERVER_LIMIT)
+    if text is None:
+        is_signed = answers_request(response, request_id) and names.SERVER_STAMP in response.headers
+        return StatedLimit(None) if is_signed else None
+    try:
+        rate = float(text)
+    except ValueError:
+        rate = math.nan
+    if math.isfinite(rate) and rate >= 0:
+        return StatedLimit(rate)
+    events.emit(
+        events.INPUT_REJECTED,
+        request=request_id,
+        error=f"{names.SERVER_LIMIT} is no rate: {text[:80]!r}",
+    )
+    return None
+
+
 async def read_body(
     response: aiohttp.ClientResponse, held: ByteBudget, max_bytes: int = MAX_ANSWER_BYTES
 ) -> bytes:
--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -14,6 +14,7 @@
 from apricotvale import clock
 from apricotvale.discovery import Upstream
 from apricotvale.exceptions import ApricotvaleError, TruncatedStreamError
+from apricotvale.limits.types import StatedLimit
 from apricotvale.numerals import parse_number
 from apricotvale.outcomes import Reason, Refusal, not_run, unknown
 from apricotvale.platform import names, wire
@@ -26,6 +27,7 @@
     read_body,
     refusal_from_error,
     says_leaving,
+    stated_limit,
 )
 from apricotvale.platform.connections import UpstreamConnection, make_session
 from apricotvale.requests.calls import Answer, Call, RunRequest
@@ -75,7 +77,7 @@
 
     async def call(self, upstream: Upstream, call: Call) -> Answer | Refusal:
         """Send a request and return the complete answer, or why there is none."""
-        is_leaving = False
+        is_leaving, limit = False, None
         result: Answer | Refusal
         left_s = call.deadline - clock.now()
         if left_s <= 0:
@@ -99,10 +101,11 @@
                 ) as response,
             ):
                 is_leaving = says_leaving(response)
+                limit = stated_limit(response, call.request_id)
                 result = await read_answer(response, call.request_id, self.held)
         except (aiohttp.ClientError, OSError, ValueError, OversizedAnswerError) as error:
             result = refusal_from_error(error)
-        return attrs.evolve(result, is_leaving=is_leaving) if is_leaving else result
+        return with_statements(result, is_leaving, limit)
 
     @asynccontextmanager
     async def run(
@@ -138,15 +141,16 @@
                         allow_redirects=False,
                     )
                     if response.status == 200 and answers_request(response, request.request_id):
-                        result = PlatformRun(response)
+                        result = PlatformRun(response, request.request_id)
                     else:
                         result = await read_answer(
                             response, request.request_id, self.held, MAX_STATUS_BYTES
                         )
             except (aiohttp.ClientError, OSError, ValueError, OversizedAnswerError) as error:
                 result = refusal_from_error(error)
-            if response is not None and says_leaving(response):
-                result = with_leaving(result)
+            if response is not None and not isinstance(result, PlatformRun):
+                limit = stated_limit(response, request.request_id)
+                result = with_statements(result, says_leaving(response), limit)
             yield result
         finally:
             if response is not None:
@@ -226,10 +230,11 @@
     :raises ValueError: if the engine states a version that is no number of a valid size.
     """
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(self, response: aiohttp.ClientResponse, request_id: str) -> None:
         self.response = response
         self.version = parse_number(response.headers.get(names.WEIGHT_VERSIONS, "0"))
         self.is_leaving = says_leaving(response)
+        self.limit = stated_limit(response, request_id)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the stream's bytes.
@@ -265,9 +270,13 @@
     return URL(f"http://{upstream.address}{target}", encoded=True)
 
 
-def with_leaving(result: PlatformRun | Answer | Refusal) -> PlatformRun | Answer | Refusal:
-    """Return the result of an upstream that leaves; a stream states it by itself."""
-    return result if isinstance(result, PlatformRun) else attrs.evolve(result, is_leaving=True)
+def with_statements(
+    result: Answer | Refusal, is_leaving: bool, limit: StatedLimit | None
+) -> Answer | Refusal:
+    """Return a result with what the head of its answer states about the upstream."""
+    if not is_leaving and limit is None:
+        return result
+    return attrs.evolve(result, is_leaving=is_leaving, limit=limit)
 
 
 def delimits_body(response: aiohttp.ClientResponse) -> bool:
--- a/src/apricotvale/platform/names.py
+++ b/src/apricotvale/platform/names.py
@@ -12,6 +12,8 @@
 SERVER_STAMP = "Server-Stamp"
 # Present with the value 1 in all answers of an upstream that leaves.
 SERVER_LEAVING = "Server-Leaving"
+# How many requests in a second an upstream takes from all processes together, as a decimal number.
+SERVER_LIMIT = "Server-Limit"
 LAST_EVENT_ID = "Last-Event-Id"
 # A single number despite the plural: the version under which the run began.
 WEIGHT_VERSIONS = "Weight-Versions"
--- a/src/apricotvale/requests/calls.py
+++ b/src/apricotvale/requests/calls.py
@@ -9,6 +9,7 @@
 from attrs import field, frozen
 
 from apricotvale.discovery import Upstream
+from apricotvale.limits.types import StatedLimit
 from apricotvale.outcomes import Refusal
 from apricotvale.requests.held_bytes import ByteBudget
 from apricotvale.weights.messages import EngineReport, LoadOrder, OrderOutcome
@@ -42,6 +43,7 @@
     :param signature: the upstream's signature of the answer, empty if it sent none.
     :param server_errors: number of server errors that earlier attempts of the request received.
     :param is_leaving: whether the upstream stated that it leaves.
+    :param limit: what the answer says about the upstream's limit, None if that is not known.
     """
 
     status: int
@@ -50,6 +52,7 @@
     signature: str = ""
     server_errors: int = 0
     is_leaving: bool = False
+    limit: StatedLimit | None = None
 
 
 @frozen
@@ -72,10 +75,11 @@
 
 
 class RunStream(Protocol):
-    """An open event stream, its weight version at the start, and whether the engine leaves."""
+    """An open event stream, its weight version at the start, and the engine's statements."""
 
     version: int
     is_leaving: bool
+    limit: StatedLimit | None
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the stream's bytes; raise TruncatedStreamError if the stream ends early."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -10,6 +10,7 @@
 import json
 import socket
 import struct
+import time
 
 from attrs import define, field
 
@@ -53,6 +54,8 @@
     :param managed: writers of connections whose last request was a management call.
     :param readers: readers of all connections, open and closed.
     :param leaving: whether all answers say that the upstream leaves.
+    :param limit: text of the limit that all answers name, None for none.
+    :param arrivals: when requests other than management calls arrived, in monotonic seconds.
     :param born: start time in its heartbeats.
     :param read_s: pause before it reads the body of a request, in seconds.
     :param body: body of a good answer; None for one that names the request.
@@ -73,6 +76,8 @@
     managed: set = field(factory=set)
     readers: list = field(factory=list)
     leaving: bool = False
+    limit: str | None = None
+    arrivals: list[float] = field(factory=list)
     born: int = 1
     read_s: float = 0.0
     body: bytes | None = None
@@ -131,6 +136,7 @@
             self.managed.add(writer)
         else:
             self.managed.discard(writer)
+            self.arrivals.append(time.monotonic())
         if target == "/api/report":
             return await self.send_json(writer, 200, self.report())
         if target == "/api/order":
@@ -139,6 +145,11 @@
             return await self.send(writer, 421, [("Replica-Id", self.upstream_id)], b"")
         return await self.answer(writer, headers)
 
+    def statements(self):
+        """Return the header fields with which answers describe the upstream."""
+        limit = [] if self.limit is None else [f"Server-Limit: {self.limit}"]
+        return ["Server-Leaving: 1"] * self.leaving + limit
+
     def report(self):
         models = [{"name": n, "version": v, "adapters": []} for n, v in self.models.items()]
         return {"stage": "both", "models": models, "busy": False, "sequence": self.orders}
@@ -159,7 +170,7 @@
     async def send(self, writer, status, headers, body, length=None):
         lines = [f"HTTP/1.1 {status} Word"]
         lines += [f"{name}: {value}" for name, value in headers]
-        lines += ["Server-Leaving: 1"] * self.leaving
+        lines += self.statements()
         if length != "none":
             lines.append(f"Content-Length: {len(body) if length is None else length}")
         writer.write("\r\n".join([*lines, "", ""]).encode() + body)
@@ -215,7 +226,7 @@
         lines = [f"{name}: {value}" for name, value in valid_headers]
         start = int(headers.get("last-event-id", "-1")) + 1
         lines.append("Transfer-Encoding: chunked")
-        lines += ["Server-Leaving: 1"] * self.leaving
+        lines += self.statements()
         if start < self.events:
             lines.append(f"Weight-Versions: {version}")
         writer.write("\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode())
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -10,6 +10,7 @@
 from apricotvale import clock
 from apricotvale.discovery import Standing, Upstream
 from apricotvale.exceptions import TruncatedStreamError
+from apricotvale.limits.types import StatedLimit
 from apricotvale.outcomes import Ran, Reason, Refusal
 from apricotvale.platform.client import PlatformClient
 from apricotvale.requests.calls import Answer, Call, RunRequest
@@ -245,3 +246,47 @@
     request = RunRequest("/drafts/1", "h.example", "i-1", b"prompt")
     async with client.run(make_upstream(standin), request) as stream:
         assert stream.is_leaving
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "limit", "expected"),
+    [
+        ("good", "2.5", StatedLimit(2.5)),
+        ("failing", "2.5", StatedLimit(2.5)),
+        ("full", "2.5", StatedLimit(2.5)),
+        ("truncated", "0", StatedLimit(0.0)),
+        ("good", None, StatedLimit(None)),
+        ("failing", None, StatedLimit(None)),
+        # Neither is certain to come from the upstream itself.
+        ("full", None, None),
+        ("unsigned", None, None),
+        ("other request", "2.5", None),
+        ("other request", None, None),
+        ("good", "many", None),
+        ("good", "-1", None),
+        ("good", "nan", None),
+        ("good", "inf", None),
+        ("reset", "2.5", None),
+    ],
+)
+async def test_an_answer_states_the_limit_of_its_upstream(
+    client, standin, behaviour, limit, expected
+):
+    standin.behaviour, standin.limit = behaviour, limit
+    result = await client.call(make_upstream(standin), make_call())
+    assert result.limit == expected
+
+
+async def test_a_misdirected_request_states_no_limit(client, standin):
+    """Guards against a limit on an incarnation whose address another upstream has taken."""
+    standin.limit = "1"
+    result = await client.call(make_upstream(standin, "i-9"), make_call())
+    assert result.reason is Reason.WRONG_INCARNATION and result.limit is None
+
+
+@pytest.mark.parametrize("behaviour", ["stream", "full", "failing"])
+async def test_a_run_states_the_limit_of_its_engine(client, standin, behaviour):
+    standin.behaviour, standin.limit = behaviour, "0.5"
+    request = RunRequest("/drafts/1", "h.example", "i-1", b"prompt")
+    async with client.run(make_upstream(standin), request) as stream:
+        assert stream.limit == StatedLimit(0.5)
--- a/tests/test_transcripts.py
+++ b/tests/test_transcripts.py
@@ -140,6 +140,7 @@
     pause_s: float
     version: int = 1
     is_leaving: bool = False
+    limit: None = None
 
     async def chunks(self):
         for part in self.parts:
