--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -175,6 +175,22 @@
         self.url, self.readiness = f"http://{address}", f"http://{ready}{names.READY_PATH}"
         self.tasks.append(asyncio.create_task(self.entry.run(asyncio.Event())))
 
+    async def start_second_entry(self):
+        """Start another entry; return it and its address once it has the table and all upstreams.
+
+        The entry that calls go to by default stays the same.
+        """
+        first, url, readiness = self.entry, self.url, self.readiness
+        await self.start_entry(first.settings.internal_port, first.settings.contacts)
+        second, second_url = self.entry, self.url
+        self.entry, self.url, self.readiness = first, url, readiness
+
+        async def state():
+            return len(second.link.view.upstreams), second.link.table is not None
+
+        await self.wait_until(state, lambda found: found == (4, True))
+        return second, second_url
+
     async def standin(self, name, service, models=None):
         behaviour = "stream" if service == "lm" else "good"
         standin = StandIn(name, service, behaviour, models=models or {})
@@ -262,11 +278,11 @@
 
     # Calls of callers
 
-    async def request(self, path, request_id="r-1", method="POST", host=HOST, **headers):
+    async def request(self, path, request_id="r-1", method="POST", host=HOST, url="", **headers):
         extra = {name.replace("_", "-"): value for name, value in headers.items()}
         fields = {"Host": host, names.REQUEST_ID: request_id, names.DEADLINE_MS: "1500", **extra}
         async with self.session.request(
-            method, self.url + path, headers=fields, data=b"x"
+            method, (url or self.url) + path, headers=fields, data=b"x"
         ) as response:
             return response.status, response.headers, await response.read()
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -114,20 +114,6 @@
         yield site
 
 
-async def start_second_entry(site):
-    """Start another entry; return its address once it has the table and all upstreams."""
-    first, url, readiness = site.entry, site.url, site.readiness
-    await site.start_entry(first.settings.internal_port, first.settings.contacts)
-    second, second_url = site.entry, site.url
-    site.entry, site.url, site.readiness = first, url, readiness
-
-    async def state():
-        return len(second.link.view.upstreams), second.link.table is not None
-
-    await site.wait_until(state, lambda found: found == (4, True))
-    return second, second_url
-
-
 def standing(site, entry, upstream_id):
     return entry.link.view.upstreams[upstream_id].standing
 
@@ -180,7 +166,7 @@
 
 
 async def test_another_entry_stops_within_half_a_second(site):
-    second, second_url = await start_second_entry(site)
+    second, second_url = await site.start_second_entry()
     desk = site.desks[0]
     await leave_by_answer(site, desk)
     await asyncio.sleep(0.5)
