Keep to the limits of upstreams by permits from the control leader

What callers and operators saw: an upstream in need got more requests than it had said that it takes (13 and 14 in 4 s at a limit of 1 a second, 11 allowed).

Cause: no process read the limit. Its class is a bound that belongs to an upstream but would have to be kept by many processes: five entries and the leader each sent what they liked.

Change: a limit is part of the replicated registry, of one incarnation, and reaches every process with the view. The leader issues the permits of each limited upstream from one token bucket; callers' requests, retries, runs and reward calls each need one. A second copy of a slow request goes to no limited upstream. An upstream without a permit is not chosen, so that its load goes to those with room; if none has room, the request is refused with 429 and a time at which a permit is expected for it. A new leader starts with empty buckets. An answer without the limit, to a request sent after the limit was last heard of, ends it.

--- a/src/apricotvale/daemons/capacity.py
+++ b/src/apricotvale/daemons/capacity.py
@@ -40,6 +40,7 @@
     :param seen_at: when this leader first saw each job.
     :param pace: returns the time of a run for each expected token of its output.
     :param reward_rate: returns how many reward calls can be answered in a second.
+    :param run_s: returns the average time of a run, 0 if it is unknown.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         seen_at: Mapping[str, float],
         pace: Callable[[], float],
         reward_rate: Callable[[], float],
+        run_s: Callable[[], float],
     ) -> None:
         self.state = state
         self.runs = runs
@@ -59,6 +61,7 @@
         self.seen_at = seen_at
         self.pace = pace
         self.reward_rate = reward_rate
+        self.run_s = run_s
         self.table: RouteTable | None = None
         self.pools: dict[Services, Contention] = {}
         self.services_of: dict[str, Services] = {}
@@ -158,9 +161,10 @@
         return len(opened.items) if opened else 0
 
     def slots(self, services: Services) -> int:
-        """Return the slots of the ready engines of services."""
+        """Return the slots of the ready engines of services that their limits let runs take."""
+        run_s = self.run_s()
         return sum(
-            upstream.capacity
+            usable_slots(upstream, run_s)
             for upstream in self.state.registry.state.upstreams.values()
             if upstream.service in services and upstream.standing is Standing.READY
         )
@@ -243,6 +247,16 @@
         self.services_of.clear()
 
 
+def usable_slots(engine: Upstream, run_s: float) -> int:
+    """Return the slots that runs of an average time take if they start at the engine's limit.
+
+    :param run_s: in seconds, 0 if it is unknown.
+    """
+    if engine.limit is None or not run_s:
+        return engine.capacity
+    return min(engine.capacity, max(1, round(engine.limit * run_s)))
+
+
 def services_of(route: Route) -> Services:
     """Return the services whose engines run a route's items."""
     return frozenset(backend.service for backend in route.backends if backend.weight > 0)
--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -24,8 +24,10 @@
 from apricotvale.daemons.job_runner import SAVE_INTERVAL_S, JobRunner
 from apricotvale.daemons.leader_client import LeaderClient
 from apricotvale.daemons.leaving import LeavingReporter
+from apricotvale.daemons.limit_reporter import LimitReporter
 from apricotvale.daemons.load_scheduler import LoadScheduler
 from apricotvale.daemons.peers import Peers
+from apricotvale.daemons.permits import LeaderPermits
 from apricotvale.daemons.replica import LostLeadership, Replica
 from apricotvale.daemons.result_reader import ResultReader
 from apricotvale.daemons.rpc_server import ControlService, make_server
@@ -40,6 +42,7 @@
 from apricotvale.jobs import Job
 from apricotvale.jobs.admission import spread
 from apricotvale.jobs.store import expected_bytes
+from apricotvale.limits.permits import PermitIssuer
 from apricotvale.outcomes import Refusal
 from apricotvale.requests.calls import UpstreamClient
 from apricotvale.routes import RouteTable
@@ -111,8 +114,19 @@
         self.replica = Replica(peers, storage, TIMING, self.on_applied, self.state)
         self.view = RegistryView()
         self.leaving = LeavingReporter(self.view, self.call)
-        forwarder = Forwarder(settings.site, self.view, client, self.leaving.on_leaving)
-        self.runner = JobRunner(self.state, client, forwarder, self.commit_internal, version_field)
+        self.limit_reporter = LimitReporter(self.view, self.call)
+        self.permits = LeaderPermits(self.view, PermitIssuer())
+        forwarder = Forwarder(
+            settings.site,
+            self.view,
+            client,
+            self.leaving.on_leaving,
+            self.limit_reporter.on_limit,
+            self.permits,
+        )
+        self.runner = JobRunner(
+            self.state, client, forwarder, self.permits, self.commit_internal, version_field
+        )
         self.load_scheduler = LoadScheduler(
             self.state,
             client,
@@ -158,6 +172,7 @@
             self.runner.tasks,
             self.load_scheduler.tasks,
             self.leaving.tasks,
+            self.limit_reporter.tasks,
             self.duty_tasks,
         ):
             work = (self.replica.run(), self.run_leader_tasks(), self.save_progress())
@@ -241,6 +256,11 @@
                 return await self.commit(c.Depart(request.upstream_id))
             case calls.ReportLeaving():
                 return await self.on_report_leaving(request)
+            case calls.ReportLimit():
+                return await self.on_report_limit(request)
+            case calls.DrawPermits():
+                issued = self.permits.issue(request, clock.now())
+                return calls.PermitsDrawn(issued.granted, issued.wait_s, issued.sharers)
             case calls.PutTable():
                 return await self.on_put_table(request)
             case calls.PublishVersion():
@@ -475,6 +495,20 @@
         )
         return reply
 
+    async def on_report_limit(self, request: calls.ReportLimit) -> Any:
+        """Commit the limit of an upstream or its end, unless it is known already."""
+        if self.state.registry.limit_of(request.upstream_id, request.born_ms) == request.rate:
+            return calls.Accepted()
+        reply = await self.commit(c.SetLimit(request.upstream_id, request.born_ms, request.rate))
+        events.emit(
+            events.LIMIT_COMMITTED,
+            upstream=f"{request.upstream_id}@{request.born_ms}",
+            rate=request.rate,
+            registry=self.state.registry.state.position,
+            outcome=type(reply).__name__,
+        )
+        return reply
+
     async def on_retire(self, name: str) -> Any:
         """Start retiring a replica unless too few responsive members would remain."""
         members = self.replica.node.group.members
@@ -612,12 +646,13 @@
         self.leading_since = float("inf")
         self.runner.stop()
         self.load_scheduler.stop()
+        self.permits.issuer.clear()
         if self.duties:
             self.duties.stop()
 
     def run_due_tasks(self, now: float) -> None:
         """Run the leader tasks that are due, once the entries of former terms are applied."""
-        self.view.apply(self.state.registry.since(self.view.position))
+        self.view.apply(self.state.registry.since(self.view.position), now)
         if self.replica.node.term_start_index > self.replica.node.applied_index:
             return
         self.mark_silent_upstreams(now)
@@ -653,6 +688,7 @@
         self.purge_at = now + PURGE_INTERVAL_S
         incarnations = {u.incarnation for u in self.state.registry.state.upstreams.values()}
         self.runner.forget(incarnations)
+        self.permits.issuer.retain(incarnations)
         cutoff = now - self.settings.retention_s - RETENTION_MARGIN_S
         for job_id in list(self.state.jobs.state.records):
             seen_at = self.runner.seen_at.setdefault(job_id, now)
--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -15,6 +15,8 @@
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.leader_client import ATTEMPT_TIMEOUT_S
 from apricotvale.daemons.leaving import LeavingReporter
+from apricotvale.daemons.limit_reporter import LimitReporter
+from apricotvale.daemons.permits import EntryPermits
 from apricotvale.daemons.runtime import TaskGroup, wait_event, wait_until_stopped
 from apricotvale.daemons.usage_reporter import UsageReporter
 from apricotvale.fleet import calls
@@ -55,7 +57,15 @@
         self.settings = settings
         self.link = FleetLink(settings.contact_addresses(), parse_table)
         self.leaving = LeavingReporter(self.link.view, self.link.call)
-        self.forwarder = Forwarder(settings.site, self.link.view, client, self.leaving.on_leaving)
+        self.limit_reporter = LimitReporter(self.link.view, self.link.call)
+        self.forwarder = Forwarder(
+            settings.site,
+            self.link.view,
+            client,
+            self.leaving.on_leaving,
+            self.limit_reporter.on_limit,
+            EntryPermits(settings.name, self.link.view, self.link.draw_permits),
+        )
         self.held = client.held = ByteBudget(held_limit(settings.memory_mb))
         self.forwarder.sent.limit = int(self.held.limit * UPSTREAM_SHARE)
         metrics.HELD_BYTES.set_function(lambda: self.held.held)
@@ -190,7 +200,12 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Follow control until `stop` is set, then serve until the balancer removes the entry."""
-        async with TaskGroup() as tasks, self.leaving.tasks, self.copies.tasks:
+        async with (
+            TaskGroup() as tasks,
+            self.leaving.tasks,
+            self.limit_reporter.tasks,
+            self.copies.tasks,
+        ):
             needed = [tasks.start(self.link.run())]
             if self.usage:
                 needed.append(tasks.start(self.usage.run()))
--- a/src/apricotvale/daemons/fleet_link.py
+++ b/src/apricotvale/daemons/fleet_link.py
@@ -38,6 +38,8 @@
         self.parse_table = parse_table
         self.watch_client = LeaderClient(contacts, FLEET)
         self.call_client = LeaderClient(contacts, FLEET)
+        # Calls with short time limits, which close their connection when they expire.
+        self.permit_client = LeaderClient(contacts, FLEET)
         self.view = RegistryView()
         self.table: RouteTable | None = None
         self.has_table = asyncio.Event()
@@ -64,6 +66,15 @@
         client_deadline = self.call_client.now() + deadline - clock.now()
         return await self.call_client.call(request, client_deadline, attempt_timeout_s)
 
+    async def draw_permits(self, request: calls.DrawPermits, deadline: float) -> Any | Refusal:
+        """Return the leader's reply to a call for permits, or a refusal.
+
+        :param deadline: on `clock.now`, in seconds.
+        """
+        self.permit_client.current_address = self.watch_client.current_address
+        client_deadline = self.permit_client.now() + deadline - clock.now()
+        return await self.permit_client.call(request, client_deadline)
+
     async def run(self) -> None:
         """Watch for changes until cancelled, and log when control is lost or found."""
         was_fresh = False
@@ -95,7 +106,7 @@
                 upstreams={u.incarnation: u.standing for u in reply.upstreams.upstreams},
                 removed=reply.upstreams.removed,
             )
-        self.view.apply(reply.upstreams)
+        self.view.apply(reply.upstreams, clock.now())
         if reply.document:
             self.apply_table(reply.document)
         self.addresses = reply.addresses
@@ -107,6 +118,7 @@
         addresses = list(dict.fromkeys([*self.addresses, *contacts]))
         self.watch_client.addresses = addresses
         self.call_client.addresses = addresses
+        self.permit_client.addresses = addresses
 
     def apply_table(self, document: bytes) -> None:
         """Put a table in force if it is newer; log one that cannot be decoded."""
@@ -124,3 +136,4 @@
         """Close the connections to control."""
         self.watch_client.close()
         self.call_client.close()
+        self.permit_client.close()
--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 
 from apricotvale import clock, events, metrics
+from apricotvale.daemons.permits import PermitSource
 from apricotvale.discovery import RegistryView, Upstream
-from apricotvale.outcomes import Reason, Refusal, not_run
+from apricotvale.outcomes import Ran, Reason, Refusal, not_run
 from apricotvale.requests.calls import Answer, Call, RunStream, UpstreamClient
 from apricotvale.requests.forwarding import ForwardedRequest
 from apricotvale.requests.held_bytes import UpstreamBytes
@@ -34,6 +35,8 @@
     :param client: HTTP client for upstreams.
     :param on_leaving: called with each upstream that states that it leaves, before its answer is
         passed on.
+    :param on_limit: called with each upstream whose limit has changed by one of its answers.
+    :param permits: permits to send requests to upstreams with a limit.
     """
 
     def __init__(
@@ -42,10 +45,14 @@
         view: RegistryView,
         client: UpstreamClient,
         on_leaving: Callable[[Upstream], None],
+        on_limit: Callable[[Upstream], None],
+        permits: PermitSource,
     ) -> None:
         self.view = view
         self.client = client
         self.on_leaving = on_leaving
+        self.on_limit = on_limit
+        self.permits = permits
         self.sent = UpstreamBytes()
         self.rng = random.Random()
         self.router = Router(site, Routing(), self.rng)
@@ -96,7 +103,8 @@
     def choose(self, request: ForwardedRequest, call: Call, now: float) -> Upstream | None:
         """Choose and log the upstream for the next attempt; return None if none is left."""
         for service in choose_services(request.route, self.rng.random):
-            candidates = self.with_room(self.view.ready(service), service, call)
+            ready = self.within_limits(self.view.ready(service), bool(request.in_flight), now)
+            candidates = self.with_room(ready, service, call)
             if not candidates:
                 continue
             choice = self.router.choose(candidates, now, excluded=request.tried)
@@ -115,6 +123,33 @@
             return choice.member
         return None
 
+    def within_limits(self, ready: list[Upstream], is_copy: bool, now: float) -> list[Upstream]:
+        """Return the upstreams whose limits leave room for a request.
+
+        :param is_copy: whether it is a second copy, which would take another caller's permit.
+        """
+        limits = self.view.limits
+        if not limits.by_incarnation:
+            return ready
+        return [
+            upstream
+            for upstream in ready
+            if limits.rate_of(upstream.incarnation) is None
+            or (not is_copy and not self.permits.wait_s(upstream, now))
+        ]
+
+    def limited_retry_s(self, route: Route, now: float) -> float | None:
+        """Return when a request may come back if limits alone leave no room, else None."""
+        ready = [
+            upstream
+            for backend in route.backends
+            if backend.weight > 0
+            for upstream in self.view.ready(backend.service)
+        ]
+        if not ready or self.within_limits(ready, False, now):
+            return None
+        return self.permits.retry_after_s(ready, now)
+
     def with_room(self, ready: list[Upstream], service: str, call: Call) -> list[Upstream]:
         """Return the upstreams to which the bytes of a request may be sent now."""
         if not self.sent.limit:
@@ -158,8 +193,10 @@
         Load pattern: callers fill every slot. Second copies of slow requests would then take slots
         from other callers.
         """
+        limits = self.view.limits
         return all(
-            self.router.load_of(upstream).in_flight >= upstream.capacity
+            limits.rate_of(upstream.incarnation) is not None
+            or self.router.load_of(upstream).in_flight >= upstream.capacity
             or now < self.full_since.get(upstream.incarnation, float("-inf")) + FULL_S
             for upstream in candidates
         )
@@ -170,6 +207,8 @@
 
     async def send(self, upstream: Upstream, call: Call) -> Answer | Refusal:
         """Send one attempt, and report its success or failure to the router."""
+        if not await self.permits.acquire(upstream):
+            return not_run(Reason.RATE_LIMITED, "the upstream's limit leaves no room")
         if self.is_leaving(upstream):
             # Another answer carried the mark after this upstream was chosen.
             return not_run(Reason.DRAINING, "the upstream leaves")
@@ -238,10 +277,16 @@
                 before=known,
                 view=self.view.position,
             )
+            self.on_limit(upstream)
 
     def final_result(self, request: ForwardedRequest, call: Call, now: float) -> Answer | Refusal:
         """Return the result of a request whose attempts gave no final answer; log a refusal."""
         result = request.final_result(now, RETRY_AFTER_S)
+        if isinstance(result, Refusal) and result.ran is Ran.NOT_RUN:
+            retry_after_s = self.limited_retry_s(request.route, now)
+            if retry_after_s is not None:
+                detail = "the limits of the upstreams leave no room"
+                result = not_run(Reason.RATE_LIMITED, detail, retry_after_s)
         if isinstance(result, Refusal):
             events.emit(
                 events.REFUSED,
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -14,6 +14,7 @@
 from apricotvale.customers.access import upstream_customer, urgency
 from apricotvale.daemons.capacity import CapacityPlanner
 from apricotvale.daemons.forwarder import Forwarder
+from apricotvale.daemons.permits import LeaderPermits
 from apricotvale.daemons.reward_slots import Order, RewardSlots, reward_limit
 from apricotvale.daemons.runtime import TaskGroup
 from apricotvale.discovery import Standing, Upstream
@@ -97,6 +98,7 @@
     :param state: the replicated state.
     :param client: sends runs to upstreams.
     :param forwarder: sends the reward calls.
+    :param permits: permits of upstreams with a limit.
     :param commit: commits a command; returns False if this replica is no longer the leader.
     :param version_field: name of the event field that announces a new weight version.
 
@@ -111,12 +113,14 @@
         state: FleetState,
         client: UpstreamClient,
         forwarder: Forwarder,
+        permits: LeaderPermits,
         commit: Callable[[c.Command], Awaitable[bool]],
         version_field: str,
     ) -> None:
         self.state = state
         self.client = client
         self.forwarder = forwarder
+        self.permits = permits
         self.commit = commit
         self.version_field = version_field
         self.table: RouteTable | None = None
@@ -140,6 +144,7 @@
             self.seen_at,
             self.seconds_per_token,
             self.rewards.rate,
+            lambda: self.run_time.seconds_per_token,
         )
         self.tasks = TaskGroup()
 
@@ -271,7 +276,8 @@
                 continue
             demand = self.remaining_demand(route, run)
             other = self.find_engine(route, run.job, run.item, now, demand)
-            if other is None:
+            if other is None or self.permits.rate_of(other) is not None:
+                # A run that has stopped might not get a permit to go on.
                 continue
             version = self.pool.version_of(other, run.job.model)
             if route.single_version and version != run.transcript.version:
@@ -357,8 +363,8 @@
         found = self.engines_of(route, now)
         memory_tokens = min((self.memory_tokens(name) for name in services_of(route)), default=0)
         demand = demand or self.demand_of(route, job, item)
-        leaving = self.forwarder.view.leaving
-        return self.pool.choose(found, job, item, demand, now, memory_tokens, may_wait, leaving)
+        closed = self.forwarder.view.leaving | self.permits.closed(now)
+        return self.pool.choose(found, job, item, demand, now, memory_tokens, may_wait, closed)
 
     def has_slot(self, route: Route, job: Job, item: Item, now: float) -> bool:
         """Return whether an engine could take an item that needs no memory and is never late."""
@@ -407,6 +413,8 @@
         that start in the same pass find it there.
         """
         engine = self.find_engine(route, job, item, now, may_wait=True)
+        if engine is not None and not self.permits.take(engine, now):
+            return None
         if engine is not None:
             usage = self.usages[engine.incarnation]
             memory_tokens = self.memory_tokens(engine.service)
@@ -613,6 +621,7 @@
     async def score(self, run: ItemRun, reward: RewardCall) -> str:
         """Return the signature of the reward call's answer, empty if the call failed too often."""
         while True:
+            answer: Answer | Refusal | None = None
             route = self.table.match(reward.host, reward.path) if self.table else None
             if route is not None:
                 answer = await self.call_reward(route, reward, run)
@@ -630,7 +639,12 @@
                 )
                 if run.reward_errors >= route.max_attempts:
                     return ""
-            await asyncio.sleep(REWARD_RETRY_S)
+            await asyncio.sleep(self.reward_retry_s(answer))
+
+    def reward_retry_s(self, answer: Answer | Refusal | None) -> float:
+        """Return the pause before a reward call is sent again."""
+        retry_after_s = answer.retry_after_s if isinstance(answer, Refusal) else None
+        return max(REWARD_RETRY_S, retry_after_s or 0.0)
 
     async def call_reward(self, route: Route, reward: RewardCall, run: ItemRun) -> Answer | Refusal:
         """Send a reward call once the service has a slot for it."""
@@ -665,8 +679,13 @@
         """Return how many reward calls may be in flight at a service."""
         if not is_on(Mechanism.REWARD_SLOTS):
             return sys.maxsize
-        is_short = self.forwarder.refused_recently(service, clock.now())
-        return reward_limit(self.forwarder.view.ready(service), is_short)
+        now = clock.now()
+        is_short = self.forwarder.refused_recently(service, now)
+        ready = self.forwarder.view.ready(service)
+        found = [upstream for upstream in ready if not self.permits.wait_s(upstream, now)]
+        if ready and not found:
+            return self.rewards.in_flight[service]
+        return reward_limit(found, is_short)
 
     async def commit_result(self, run: ItemRun, state: ItemState, score: str) -> None:
         """Commit an item's result; if leadership was lost, another leader runs the item again."""
--- a/src/apricotvale/discovery/registry.py
+++ b/src/apricotvale/discovery/registry.py
@@ -33,6 +33,8 @@
     :param sequence: number of the heartbeat within the incarnation.
     :param capacity: maximum number of concurrent requests.
     :param models: weight version by model, for model engines.
+    :param limit: requests in a second that it takes from all processes together, as it named in its
+        answers; None without a limit.
     """
 
     upstream_id: str
@@ -45,6 +47,7 @@
     standing: Standing
     software: str = ""
     models: dict[str, int] = field(factory=dict)
+    limit: float | None = None
 
     @property
     def incarnation(self) -> str:
@@ -78,6 +81,14 @@
     sequence: int
 
 
+@frozen
+class RecordedLimit:
+    """The limit that an incarnation of an upstream named in its answers."""
+
+    born_ms: int
+    rate: float
+
+
 @frozen
 class UpstreamDelta:
     """Changes since a position; a full delta replaces the whole view."""
@@ -98,6 +109,7 @@
     :param forgotten_at: position of the newest removal whose record was dropped.
     :param leaving: `born_ms` of the incarnations that stated in an answer that they leave, by
         upstream.
+    :param limits: limits in force, by upstream.
     """
 
     position: int = 0
@@ -107,6 +119,7 @@
     departed_at: dict[str, int] = field(factory=dict)
     forgotten_at: int = 0
     leaving: dict[str, int] = field(factory=dict)
+    limits: dict[str, RecordedLimit] = field(factory=dict)
 
 
 class Registry:
@@ -120,7 +133,7 @@
         if not self.is_current(upstream):
             return False
         current = self.state.upstreams.get(upstream.upstream_id)
-        return current is None or current.differs(self.with_mark(upstream))
+        return current is None or current.differs(self.with_statements(upstream))
 
     def is_current(self, upstream: Upstream) -> bool:
         """Return whether a heartbeat is not out of date.
@@ -153,7 +166,9 @@
                 self.remove(other, position)
         if not self.is_leaving(upstream.upstream_id, upstream.born_ms):
             self.state.leaving.pop(upstream.upstream_id, None)
-        self.record(self.with_mark(upstream), position)
+        if self.limit_of(upstream.upstream_id, upstream.born_ms) is None:
+            self.state.limits.pop(upstream.upstream_id, None)
+        self.record(self.with_statements(upstream), position)
         return True
 
     def record(self, upstream: Upstream, position: int) -> None:
@@ -166,12 +181,19 @@
         """Return whether this incarnation has stated in an answer that it leaves."""
         return self.state.leaving.get(upstream_id) == born_ms
 
-    def with_mark(self, upstream: Upstream) -> Upstream:
-        """Return a heartbeat's upstream, as draining if it is marked as leaving.
+    def limit_of(self, upstream_id: str, born_ms: int) -> float | None:
+        """Return the limit that this incarnation has named, None without one."""
+        recorded = self.state.limits.get(upstream_id)
+        return recorded.rate if recorded and recorded.born_ms == born_ms else None
+
+    def with_statements(self, upstream: Upstream) -> Upstream:
+        """Return a heartbeat's upstream with its limit, as draining if it is marked as leaving.
 
         Load pattern: an upstream announces in its answers that it leaves, while its heartbeats go
         on to say that it is ready.
         """
+        limit = self.limit_of(upstream.upstream_id, upstream.born_ms)
+        upstream = evolve(upstream, limit=limit)
         ready = upstream.standing is Standing.READY
         if ready and self.is_leaving(upstream.upstream_id, upstream.born_ms):
             return evolve(upstream, standing=Standing.DRAINING)
@@ -191,6 +213,22 @@
             self.record(evolve(current, standing=Standing.DRAINING), position)
         return True
 
+    def set_limit(self, upstream_id: str, born_ms: int, rate: float | None, position: int) -> bool:
+        """Record the limit of an incarnation, None for its end; return whether that is news."""
+        current = self.state.upstreams.get(upstream_id)
+        if (
+            current is None
+            or current.born_ms != born_ms
+            or self.limit_of(upstream_id, born_ms) == rate
+        ):
+            return False
+        if rate is None:
+            del self.state.limits[upstream_id]
+        else:
+            self.state.limits[upstream_id] = RecordedLimit(born_ms, rate)
+        self.record(evolve(current, limit=rate), position)
+        return True
+
     def is_foreign(self, upstream: Upstream) -> bool:
         """Return whether a heartbeat without a start time is among upstreams that state one.
 
@@ -231,6 +269,7 @@
         del state.upstreams[upstream.upstream_id]
         state.changed_at.pop(upstream.upstream_id, None)
         state.leaving.pop(upstream.upstream_id, None)
+        state.limits.pop(upstream.upstream_id, None)
         state.departed[upstream.upstream_id] = Departed(
             upstream.upstream_id, upstream.born_ms, upstream.sequence
         )
@@ -273,14 +312,18 @@
     leaving: set[str] = field(factory=set)
     limits: KnownLimits = field(factory=KnownLimits)
 
-    def apply(self, delta: UpstreamDelta) -> None:
-        """Apply a delta; a delta older than the view is ignored."""
+    def apply(self, delta: UpstreamDelta, now: float = 0.0) -> None:
+        """Apply a delta; a delta older than the view is ignored.
+
+        :param now: in monotonic seconds.
+        """
         if delta.position < self.position:
             return
         if delta.full:
             self.upstreams = {}
         for upstream in delta.upstreams:
             self.upstreams[upstream.upstream_id] = upstream
+            self.limits.follow(upstream.incarnation, upstream.limit, now)
         for upstream_id in delta.removed:
             self.upstreams.pop(upstream_id, None)
         self.position = delta.position
--- a/src/apricotvale/engines/pool.py
+++ b/src/apricotvale/engines/pool.py
@@ -95,18 +95,19 @@
         now: float,
         memory_tokens: int,
         may_wait: bool,
-        leaving: set[str],
+        closed: set[str],
     ) -> Upstream | None:
         """Return the engine for an item, or None if no engine can take it.
 
         :param found: the engines of the item's services.
         :param may_wait: whether the item may wait for a faster engine.
-        :param leaving: incarnations that stated to this process that they leave.
+        :param closed: incarnations that get no run now: they stated that they leave, or their limit
+            leaves no room.
         """
         parts = item.prompt_parts if is_on(Mechanism.CACHED_PREFIXES) else ()
         engines = found.engines
-        if leaving:
-            engines = [engine for engine in engines if engine.incarnation not in leaving]
+        if closed:
+            engines = [engine for engine in engines if engine.incarnation not in closed]
         return choose_engine(
             engines,
             self.usages,
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -164,6 +164,15 @@
     "INFO",
     "An upstream named, changed or ended its limit in an answer, with the requests in a second.",
 )
+LIMIT_COMMITTED = event(
+    356, "limit-committed", "INFO", "Control recorded the limit of an upstream, or its end."
+)
+PERMIT_REFUSED = event(
+    357,
+    "permit-refused",
+    "INFO",
+    "A request was not sent to an upstream, whose limit leaves no room for it now.",
+)
 BYTES_REFUSED = event(
     352,
     "bytes-refused",
--- a/src/apricotvale/fleet/calls.py
+++ b/src/apricotvale/fleet/calls.py
@@ -53,6 +53,31 @@
     born_ms: int
 
 
+@frozen
+class ReportLimit:
+    """Report the limit that an incarnation of an upstream named in an answer, None for its end."""
+
+    upstream_id: str
+    born_ms: int
+    rate: float | None = None
+
+
+@frozen
+class DrawPermits:
+    """Draw permits to send requests to an upstream with a limit.
+
+    :param rate: the limit as the caller knows it.
+    :param count: largest number of permits.
+    :param process: name of the caller.
+    """
+
+    upstream_id: str
+    born_ms: int
+    rate: float
+    count: int
+    process: str
+
+
 @frozen
 class PublishVersion:
     """Publish a trainer's newest weight version of a model."""
@@ -184,6 +209,8 @@
     | Heartbeat
     | Leave
     | ReportLeaving
+    | ReportLimit
+    | DrawPermits
     | PublishVersion
     | Retire
     | ReadRetirement
@@ -242,6 +269,19 @@
     """The retirement would leave too few replicas."""
 
 
+@frozen
+class PermitsDrawn:
+    """Permits for one incarnation of an upstream.
+
+    :param wait_s: time until the next permit if none was granted, in seconds.
+    :param sharers: processes that have drawn permits lately, with the leader.
+    """
+
+    granted: int
+    wait_s: float = 0.0
+    sharers: int = 1
+
+
 @frozen
 class TableRead:
     """The newest route table; the document is empty if there is none."""
@@ -345,6 +385,7 @@
     | ItemRead
     | WatchReply
     | UsageAck
+    | PermitsDrawn
 )
 
 FLEET = Interface("/apricotvale.Fleet/Call", FleetRequest, FleetReply)
--- a/src/apricotvale/fleet/commands.py
+++ b/src/apricotvale/fleet/commands.py
@@ -39,6 +39,15 @@
     born_ms: int
 
 
+@frozen
+class SetLimit:
+    """Record the limit that an incarnation named in an answer, None for its end."""
+
+    upstream_id: str
+    born_ms: int
+    rate: float | None = None
+
+
 @frozen
 class Silence:
     """Mark an upstream as silent after missing heartbeats.
@@ -148,6 +157,7 @@
     | Announce
     | Depart
     | MarkLeaving
+    | SetLimit
     | Silence
     | PublishVersion
     | AcceptJob
--- a/src/apricotvale/fleet/state.py
+++ b/src/apricotvale/fleet/state.py
@@ -108,6 +108,12 @@
                 return c.Applied(
                     self.registry.mark_leaving(command.upstream_id, command.born_ms, index)
                 )
+            case c.SetLimit():
+                return c.Applied(
+                    self.registry.set_limit(
+                        command.upstream_id, command.born_ms, command.rate, index
+                    )
+                )
             case c.Silence():
                 return c.Applied(
                     self.registry.mark_silent(
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -28,6 +28,9 @@
 LIMITED_SENDS = Counter(
     "apricotvale_limited_sends", "Requests sent to upstreams with a known limit, by kind.", ["kind"]
 )
+PERMITS = Counter(
+    "apricotvale_permits", "Requests that needed a permit of a limited upstream.", ["outcome"]
+)
 ITEMS_TOTAL = Counter("apricotvale_items", "Ends of runs of items.", ["outcome"])
 KEYS_REJECTED = Counter(
     "apricotvale_keys_rejected", "Requests refused because their key is missing or not known."
--- a/src/apricotvale/outcomes.py
+++ b/src/apricotvale/outcomes.py
@@ -48,6 +48,7 @@
     UNKNOWN_KEY = "unknown_key"
     JOB_ID_TAKEN = "job_id_taken"
     NO_CAPACITY = "no_capacity"
+    RATE_LIMITED = "rate_limited"
 
 
 STATUS_BY_REASON = {
@@ -62,6 +63,7 @@
     Reason.DEADLINE_EXPIRED: 504,
     Reason.OVERLOADED: 429,
     Reason.NO_CAPACITY: 429,
+    Reason.RATE_LIMITED: 429,
     Reason.KEY_REUSED: 422,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.UPSTREAM_LOST: 502,
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -28,6 +28,7 @@
     Reason.UNKNOWN_KEY: 401,
     Reason.JOB_ID_TAKEN: 409,
     Reason.NO_CAPACITY: 429,
+    Reason.RATE_LIMITED: 429,
 }
 # Status codes of failures that have no code of their own in `STATUS_BY_REASON`.
 FAILED_STATUS = 502
--- a/src/apricotvale/requests/forwarding.py
+++ b/src/apricotvale/requests/forwarding.py
@@ -28,7 +28,8 @@
     """Retry state of one request.
 
     :param deadline: latest time at which the caller is answered, in seconds.
-    :param tried: incarnations to which the request was sent.
+    :param tried: incarnations that were chosen for the request.
+    :param not_sent: number of these to which it was not sent, for lack of a permit.
     :param in_flight: number of copies in flight.
     :param in_flight_since: when each of the copies in flight was sent.
     :param may_have_run: number of finished copies that ran or may have run.
@@ -42,6 +43,7 @@
     route: Route
     deadline: float
     tried: list[str] = field(factory=list)
+    not_sent: int = 0
     in_flight: int = 0
     in_flight_since: list[float] = field(factory=list)
     answered_since: float | None = None
@@ -70,7 +72,7 @@
 
     def may_send(self, now: float) -> bool:
         """Return whether the request may be sent to another upstream now."""
-        if now >= self.deadline or len(self.tried) >= MAX_SENDS:
+        if now >= self.deadline or len(self.tried) - self.not_sent >= MAX_SENDS:
             return False
         if self.in_flight + self.may_have_run >= self.route.max_attempts:
             return False
@@ -103,6 +105,7 @@
             self.unknown_since = earlier(self.unknown_since, since)
         if isinstance(result, Refusal):
             self.may_have_run += result.ran is not Ran.NOT_RUN
+            self.not_sent += result.reason is Reason.RATE_LIMITED
             self.refusal = result
             return None
         self.may_have_run += 1
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,12 +11,14 @@
 
 from apricotvale.daemons.forwarder import FULL_S, SHORTAGE_S, Forwarder
 from apricotvale.daemons.job_runner import JobRunner
+from apricotvale.daemons.permits import LeaderPermits
 from apricotvale.discovery import RegistryView, Standing, Upstream, UpstreamDelta
 from apricotvale.fleet.state import FleetState
 from apricotvale.jobs import Item, Job
 from apricotvale.jobs.admission import MIN_RETRY_S, refuse, spread
 from apricotvale.jobs.planning import GroupWork, Room
 from apricotvale.jobs.scheduling import sort_by_priority
+from apricotvale.limits.permits import PermitIssuer
 from apricotvale.outcomes import Reason, not_run
 from apricotvale.platform import names
 from apricotvale.requests.calls import Answer, Call
@@ -156,7 +158,12 @@
         for n, name in enumerate(results)
     ]
     view.apply(UpstreamDelta(1, True, upstreams))
-    return Forwarder("a", view, FakeClient(results, delay_s), lambda upstream: None)
+    client, permits = FakeClient(results, delay_s), LeaderPermits(view, PermitIssuer())
+    return Forwarder("a", view, client, ignore, ignore, permits)
+
+
+def ignore(upstream):
+    """Take an upstream that states that it leaves, or its limit."""
 
 
 def make_call(deadline_s=0.3):
@@ -168,7 +175,7 @@
     now = [100.0]
     monkeypatch.setattr("apricotvale.clock.now", lambda: now[0])
     forwarder = make_forwarder({"a": FULL, "b": FULL})
-    runner = JobRunner(FleetState(), None, forwarder, None, "v")
+    runner = JobRunner(FleetState(), None, forwarder, forwarder.permits, None, "v")
     assert runner.reward_limit("desk") == 14
     await forwarder.forward(FEES, evolve(make_call(), deadline=101.0))
     assert runner.reward_limit("desk") == 8
@@ -208,7 +215,8 @@
         state.registry.announce(engine, number + 1)
     for index, accepted in enumerate(jobs):
         state.jobs.accept(accepted, index + 10)
-    runner = JobRunner(state, None, make_forwarder({"a": OK}), None, "v")
+    forwarder = make_forwarder({"a": OK})
+    runner = JobRunner(state, None, forwarder, forwarder.permits, None, "v")
     route = Route(
         "drafts", "host", "/run/", RouteKind.JOB, (Backend("lm", 1),), 10_000, job_deadline_ms=7_500
     )
--- a/tests/test_placement_under_load.py
+++ b/tests/test_placement_under_load.py
@@ -12,6 +12,7 @@
 
 from apricotvale.daemons.forwarder import Forwarder
 from apricotvale.daemons.job_runner import JobRunner, demand_of
+from apricotvale.daemons.permits import LeaderPermits
 from apricotvale.discovery import RegistryView, Standing, Upstream
 from apricotvale.engines.priority import run_priority, service_priorities, urgency_class
 from apricotvale.engines.speed import EngineSpeed, ServiceSpeed
@@ -26,6 +27,7 @@
     should_move,
     speed_range,
 )
+from apricotvale.limits.permits import PermitIssuer
 from apricotvale.platform.client import PlatformClient
 from apricotvale.requests.calls import RunRequest
 from apricotvale.routes import Backend, Route, RouteKind, RouteTable, Service
@@ -383,8 +385,10 @@
 
 @pytest.fixture
 def runner():
-    forwarder = Forwarder("a", RegistryView(), None, lambda upstream: None)
-    runner = JobRunner(FleetState(), None, forwarder, None, "weight-versions")
+    view = RegistryView()
+    permits = LeaderPermits(view, PermitIssuer())
+    forwarder = Forwarder("a", view, None, lambda upstream: None, lambda upstream: None, permits)
+    runner = JobRunner(FleetState(), None, forwarder, permits, None, "weight-versions")
     runner.tasks = StartedRuns()
     set_table(runner, ROUTE)
     runner.state.jobs.accept(JOB, 1)
--- a/tests/test_transcripts.py
+++ b/tests/test_transcripts.py
@@ -15,6 +15,7 @@
 from apricotvale.codec import encode
 from apricotvale.daemons import job_runner
 from apricotvale.daemons.job_runner import ItemRun, JobRunner
+from apricotvale.daemons.permits import LeaderPermits
 from apricotvale.discovery import RegistryView, Standing, Upstream
 from apricotvale.exceptions import TruncatedStreamError
 from apricotvale.fleet import commands as c
@@ -27,6 +28,7 @@
     Transcript,
     output_limit,
 )
+from apricotvale.limits.permits import PermitIssuer
 from apricotvale.numerals import MAX_NUMBER
 
 VERSION_FIELD = "weight-versions"
@@ -152,7 +154,8 @@
 def read_stream(monkeypatch):
     monkeypatch.setattr(job_runner, "STALL_TIMEOUT_S", 0.2)
     forwarder = SimpleNamespace(view=RegistryView())
-    runner = JobRunner(FleetState(), None, forwarder, None, VERSION_FIELD)
+    permits = LeaderPermits(forwarder.view, PermitIssuer())
+    runner = JobRunner(FleetState(), None, forwarder, permits, None, VERSION_FIELD)
 
     async def read(stream):
         run = ItemRun(JOB, ITEM, Transcript(VERSION_FIELD))
