Bound what entries send to limited upstreams while control is lost

While control was out of reach an entry used its even part of a limit, counted from control's last reply. An entry that had asked long ago would have sent one request at once, and used a part by a number of sharers that was out of date: with 25 entries and a limit of 1 a second up to 25 requests in the first second.

The first test failed before.

--- a/src/apricotvale/limits/permits.py
+++ b/src/apricotvale/limits/permits.py
@@ -157,16 +157,18 @@
     :param expiries: when each permit that is not used yet loses its effect, in monotonic seconds.
     :param closed_until: when the next permit is expected.
     :param sharers: processes that share the limit, 0 if that is not known.
+    :param heard_at: when control last replied.
     :param own: part of a permit that this process may use while control is out of reach.
-    :param own_at: when `own` was computed.
+    :param own_at: when `own` was computed, None while control replies.
     :param sent: when requests were sent last.
     """
 
     expiries: list[float] = field(factory=list)
     closed_until: float = float("-inf")
     sharers: int = 0
+    heard_at: float = float("-inf")
     own: float = 0.0
-    own_at: float = float("-inf")
+    own_at: float | None = None
     sent: list[float] = field(factory=list)
 
     def take(self, now: float) -> bool:
@@ -194,7 +196,7 @@
 
     def receive(self, issue: Issue, now: float) -> None:
         """Record the reply of control."""
-        self.sharers, self.own, self.own_at = issue.sharers, 0.0, now
+        self.sharers, self.heard_at, self.own_at = issue.sharers, now, None
         if issue.granted:
             self.expiries += [now + PERMIT_TTL_S] * issue.granted
         else:
@@ -203,8 +205,12 @@
     def take_own(self, rate: float, now: float) -> bool:
         """Use a permit of this process's even part of the limit, as control is out of reach.
 
-        The part is empty when control has just replied. Without any reply there is none.
+        The part is empty at first. A process that asked for no permit lately has none: the others
+        share the limit without it.
         """
+        if self.own_at is None:
+            self.own, self.own_at = 0.0, now
+            self.sharers = self.sharers if now < self.heard_at + SHARER_S else 0
         if not self.sharers:
             self.closed_until = now + CONTROL_PAUSE_S
             return False
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -10,6 +10,7 @@
     CALLERS_ACTIVE_S,
     MIN_RATE,
     PERMIT_TTL_S,
+    SHARER_S,
     HeldPermits,
     Issue,
     PermitBucket,
@@ -130,12 +131,23 @@
 
 def test_without_control_a_process_uses_its_part_of_the_limit(held):
     """Guards against a service that is closed while control is lost, and against one that isn't."""
-    sent = [at for at in range(1, 201) if held.take_own(2.0, START + at / 10)]
+    sent = [at for at in range(0, 201) if held.take_own(2.0, START + at / 10)]
     assert len(sent) == 10
     assert not held.take_own(2.0, START + 20.0)
     assert held.wait_s(START + 20.01) == pytest.approx(1.99)
 
 
+def test_a_process_that_did_not_ask_lately_has_no_part_without_control(held):
+    """Guards against many processes that each send one request when control is lost."""
+    assert not any(held.take_own(2.0, START + SHARER_S + at) for at in range(60))
+
+
+def test_control_that_replies_again_ends_the_own_part(held):
+    held.take_own(2.0, START)
+    held.receive(Issue(0, 0.2, sharers=4), START + 60)
+    assert not held.take_own(2.0, START + 60.1)
+
+
 def test_a_process_that_control_never_answered_sends_nothing():
     held = HeldPermits()
     assert not held.take_own(2.0, START + 100)
