Report a limit that changes with each answer twice a second at most

Callers saw nothing; found in review. An upstream that names another rate in each answer made each process report, and control commit, once for each answer: 30 reports for 30 answers in the new test, which failed before, 8 at most now. The newest rate holds at once in the process that hears it, and control gets it at the next interval. The permits of an entry are counted in all cases, not only where control was asked.

--- a/src/apricotvale/daemons/limit_reporter.py
+++ b/src/apricotvale/daemons/limit_reporter.py
@@ -36,7 +36,11 @@
             self.tasks.start(self.report_until_known(upstream))
 
     async def report_until_known(self, upstream: Upstream) -> None:
-        """Report the limit, and its changes meanwhile, until control has it."""
+        """Report the limit, and its changes meanwhile, until control has it.
+
+        Load pattern: an upstream names another rate in each answer. Control gets the newest one at
+        each interval.
+        """
         incarnation = upstream.incarnation
         try:
             while self.view.holds(upstream):
@@ -48,7 +52,6 @@
                 reply = await self.report(request, next_at)
                 if isinstance(reply, calls.Accepted | calls.NotFound):
                     self.view.limits.confirm(incarnation, known.rate)
-                else:
-                    await asyncio.sleep(max(0.0, next_at - clock.now()))
+                await asyncio.sleep(max(0.0, next_at - clock.now()))
         finally:
             self.reporting.discard(incarnation)
--- a/src/apricotvale/daemons/permits.py
+++ b/src/apricotvale/daemons/permits.py
@@ -87,38 +87,21 @@
 
     async def acquire(self, upstream: Upstream) -> bool:
         """Take a permit for a request that is sent at once; return False if there is none."""
-        incarnation = upstream.incarnation
         rate = self.rate_of(upstream)
         if rate is None:
             return True
-        if incarnation not in self.held:
+        if upstream.incarnation not in self.held:
             self.forget()
-        held = self.held.setdefault(incarnation, HeldPermits())
+        held = self.held.setdefault(upstream.incarnation, HeldPermits())
         # One call at a time: those that wait use what it brings, or are refused with it.
-        async with self.locks[incarnation]:
-            now = clock.now()
-            if held.take(now):
-                return True
-            if held.wait_s(now) > 0:
-                return False
-            if now < self.lost_until:
-                return held.take_own(rate, now)
-            request = calls.DrawPermits(
-                upstream.upstream_id, upstream.born_ms, rate, held.wanted(now), self.name
-            )
-            reply = await self.ask(request, now + ISSUE_TIMEOUT_S)
-            now = clock.now()
-            if not isinstance(reply, calls.PermitsDrawn):
-                self.lost_until = now + CONTROL_PAUSE_S
-                granted = held.take_own(rate, now)
-            else:
-                held.receive(Issue(reply.granted, reply.wait_s, reply.sharers), now)
-                granted = held.take(now)
+        async with self.locks[upstream.incarnation]:
+            granted = await self.take_or_draw(upstream, held, rate)
         metrics.PERMITS.labels("granted" if granted else "refused").inc()
         if not granted:
+            now = clock.now()
             events.emit(
                 events.PERMIT_REFUSED,
-                upstream=incarnation,
+                upstream=upstream.incarnation,
                 service=upstream.service,
                 rate=rate,
                 sharers=held.sharers,
@@ -127,6 +110,26 @@
             )
         return granted
 
+    async def take_or_draw(self, upstream: Upstream, held: HeldPermits, rate: float) -> bool:
+        """Take a permit that is held, or draw one from control; return False without one."""
+        now = clock.now()
+        if held.take(now):
+            return True
+        if held.wait_s(now) > 0:
+            return False
+        if now < self.lost_until:
+            return held.take_own(rate, now)
+        request = calls.DrawPermits(
+            upstream.upstream_id, upstream.born_ms, rate, held.wanted(now), self.name
+        )
+        reply = await self.ask(request, now + ISSUE_TIMEOUT_S)
+        now = clock.now()
+        if not isinstance(reply, calls.PermitsDrawn):
+            self.lost_until = now + CONTROL_PAUSE_S
+            return held.take_own(rate, now)
+        held.receive(Issue(reply.granted, reply.wait_s, reply.sharers), now)
+        return held.take(now)
+
     def forget(self) -> None:
         """Drop the permits of upstreams that are gone or whose limit has ended."""
         for incarnation in list(self.held):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from apricotvale import clock, events
 from apricotvale.consensus import log
 from apricotvale.daemons import fleet_link, replica
 from apricotvale.daemons.fleet_control import TIMING
@@ -364,17 +365,38 @@
     assert json.loads(body)["version"] == 8
 
 
-async def test_a_new_leader_resumes_a_long_item(site):
+RUN_EVENTS = (
+    events.ITEM_PLACED,
+    events.ITEM_CUT,
+    events.ITEM_MOVED,
+    events.RUNNER_STARTED,
+    events.RUNNER_STOPPED,
+)
+
+
+async def test_a_new_leader_resumes_a_long_item(site, monkeypatch):
+    lines, emit = [], events.emit
+
+    def record(kind, **fields):
+        if kind in RUN_EVENTS:
+            lines.append((round(clock.now(), 2), kind.name, fields))
+        emit(kind, **fields)
+
+    monkeypatch.setattr(events, "emit", record)
     for engine in site.engines:
         engine.events, engine.event_s = 60, 0.05
     assert await site.submit("j-1", job(item("i-1"))) == 202
     await asyncio.sleep(2.0)
-    leader = next(at for at, control in enumerate(site.controls) if control.replica.leads)
+
+    async def leaders():
+        return [at for at, control in enumerate(site.controls) if control.replica.leads]
+
+    leader = (await site.wait_until(leaders, bool))[0]
     site.tasks[leader].cancel()
     results = await site.all_results("j-1", 1)
     assert results["i-1"]["output"] == "\n".join(f"e{number}" for number in range(60))
     headers = [request.headers for engine in site.engines for request in engine.requests]
-    assert len(headers) == 2 and int(headers[1]["last-event-id"]) >= 15
+    assert len(headers) == 2 and int(headers[1]["last-event-id"]) >= 15, "\n".join(map(str, lines))
 
 
 # Room for jobs, and snapshots in parts
--- a/tests/test_recorded_limits.py
+++ b/tests/test_recorded_limits.py
@@ -177,3 +177,24 @@
         await asyncio.sleep(0.1)
     assert reports == [1.5, 1.5, 1.0]
     assert view.limits.by_incarnation[FIRST.incarnation].is_shared
+
+
+async def test_a_rate_that_changes_with_each_answer_costs_few_reports(view, monkeypatch):
+    """Guards against a commit of control for each answer of an upstream."""
+    monkeypatch.setattr("apricotvale.daemons.limit_reporter.REPORT_INTERVAL_S", 0.05)
+    reports = []
+
+    async def report(request, deadline):
+        reports.append(request.rate)
+        return calls.Accepted()
+
+    reporter = LimitReporter(view, report)
+    async with reporter.tasks:
+        for number in range(30):
+            view.limits.record(
+                FIRST.incarnation, StatedLimit(3.0 + number), clock.now(), clock.now()
+            )
+            reporter.on_limit(FIRST)
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.15)
+    assert len(reports) <= 8 and reports[-1] == 32.0
