End the leader's rounds before the runs that they start

Traces and causes, two of them: - placed, term 3 started, placed, runner stopped with 1 run, term 4 started, placed: the new leader lost its quorum on the starved machine, and the next one resumed the item. That is allowed, and each leader ran it once. - placed, placed again 2.03 s later by no new leader, term 3 started, placed: the rounds of the cancelled leader went on while its runs were being cancelled, and started the item again in a task group that had ended.

Change: control enters the group of its rounds last, so that it ends first. In a planned stop the rounds had already ended, so that only a process that ends by an error did this.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -167,13 +167,14 @@
         service = ControlService(self.on_call, self.replica.receive_batch, FLEET)
         server = make_server(service)
         await server.start(self.settings.ip, self.settings.internal_port)
+        # The leader's rounds end first: they would start work in groups that have ended.
         async with (
-            TaskGroup() as tasks,
             self.runner.tasks,
             self.load_scheduler.tasks,
             self.leaving.tasks,
             self.limit_reporter.tasks,
             self.duty_tasks,
+            TaskGroup() as tasks,
         ):
             work = (self.replica.run(), self.run_leader_tasks(), self.save_progress())
             needed = [tasks.start(part) for part in work]
