--- a/src/apricotvale/limits/permits.py
+++ b/src/apricotvale/limits/permits.py
@@ -25,6 +25,7 @@
 CONTROL_PAUSE_S = 0.5
 # A process that has asked for no permit for this long has no part in a limit.
 SHARER_S = 10.0
+PRUNE_INTERVAL_S = 1.0
 
 
 @frozen
@@ -110,10 +111,12 @@
     """The permits of all limited incarnations, issued while this replica leads.
 
     :param sharers: when each process last asked for permits.
+    :param pruned_at: when those that ask no more were last dropped.
     """
 
     buckets: dict[str, PermitBucket] = field(factory=dict)
     sharers: dict[str, float] = field(factory=dict)
+    pruned_at: float = float("-inf")
 
     def bucket(self, incarnation: str, rate: float, now: float) -> PermitBucket:
         """Return the bucket of an incarnation; a changed rate holds from now."""
@@ -136,7 +139,9 @@
 
     def count_sharers(self, now: float) -> int:
         """Return how many processes have asked for permits lately, with this one."""
-        self.sharers = {name: at for name, at in self.sharers.items() if now < at + SHARER_S}
+        if now >= self.pruned_at + PRUNE_INTERVAL_S:
+            self.pruned_at = now
+            self.sharers = {name: at for name, at in self.sharers.items() if now < at + SHARER_S}
         return len(self.sharers) + 1
 
     def retain(self, incarnations: Container[str]) -> None:
