Name the request in refusals of permits, and bound the count of a call

Two findings of the review. A refused permit was logged without the id of the request, so that explain could not put it in its place. A call for a negative number of permits, which no process of ours sends, was answered with a negative number; the test failed before the bound was put in (-100 for 0).

--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -207,7 +207,7 @@
 
     async def send(self, upstream: Upstream, call: Call) -> Answer | Refusal:
         """Send one attempt, and report its success or failure to the router."""
-        if not await self.permits.acquire(upstream):
+        if not await self.permits.acquire(upstream, call.request_id):
             return not_run(Reason.RATE_LIMITED, "the upstream's limit leaves no room")
         if self.is_leaving(upstream):
             # Another answer carried the mark after this upstream was chosen.
--- a/src/apricotvale/daemons/permits.py
+++ b/src/apricotvale/daemons/permits.py
@@ -33,7 +33,7 @@
     def retry_after_s(self, upstreams: Sequence[Upstream], now: float) -> float:
         """Return when a request that was refused for lack of permits may come back."""
 
-    async def acquire(self, upstream: Upstream) -> bool:
+    async def acquire(self, upstream: Upstream, request_id: str) -> bool:
         """Take a permit for a request that is sent at once; return False if there is none."""
 
 
@@ -85,7 +85,7 @@
         self.line_at[service] = min(now + MAX_RETRY_S, max(first_at, last_at + 1 / rate))
         return self.line_at[service] - now
 
-    async def acquire(self, upstream: Upstream) -> bool:
+    async def acquire(self, upstream: Upstream, request_id: str) -> bool:
         """Take a permit for a request that is sent at once; return False if there is none."""
         rate = self.rate_of(upstream)
         if rate is None:
@@ -101,6 +101,7 @@
             now = clock.now()
             events.emit(
                 events.PERMIT_REFUSED,
+                request=request_id,
                 upstream=upstream.incarnation,
                 service=upstream.service,
                 rate=rate,
@@ -173,9 +174,22 @@
         metrics.PERMITS.labels("granted" if granted else "refused").inc()
         return granted
 
-    async def acquire(self, upstream: Upstream) -> bool:
+    async def acquire(self, upstream: Upstream, request_id: str) -> bool:
         """Take a permit for a request that is sent at once; return False if there is none."""
-        return self.take(upstream, clock.now())
+        now = clock.now()
+        if self.take(upstream, now):
+            return True
+        events.emit(
+            events.PERMIT_REFUSED,
+            request=request_id,
+            upstream=upstream.incarnation,
+            service=upstream.service,
+            rate=self.rate_of(upstream),
+            sharers=self.issuer.count_sharers(now),
+            wait_ms=round(self.wait_s(upstream, now) * 1000),
+            control=True,
+        )
+        return False
 
     def closed(self, now: float) -> set[str]:
         """Return the incarnations for which there is no permit now."""
--- a/src/apricotvale/limits/permits.py
+++ b/src/apricotvale/limits/permits.py
@@ -90,7 +90,7 @@
         """Take up to `count` permits; return how many were taken."""
         if not is_background:
             self.callers_at = now
-        taken = min(count, int(self.available(now, is_background)))
+        taken = max(0, min(count, int(self.available(now, is_background))))
         self.permits -= taken
         if is_background:
             self.background = max(0.0, self.background - taken)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -44,6 +44,12 @@
     assert most <= 4 * rate + bucket.capacity + 1e-6
 
 
+def test_a_request_for_fewer_than_no_permits_gets_and_adds_none(bucket):
+    """Guards against a malformed call, and a reply with a negative number of permits."""
+    assert bucket.take(-100, START + 1) == 0
+    assert bucket.take(9, START + 1) == 2
+
+
 def test_an_unused_upstream_collects_permits_of_one_second(bucket):
     assert bucket.take(9, START + 60) == 2
 
