--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -123,6 +123,15 @@
             return choice.member
         return None
 
+    def ready_of(self, route: Route) -> list[Upstream]:
+        """Return the upstreams of a route's services that accept new work."""
+        return [
+            upstream
+            for backend in route.backends
+            if backend.weight > 0
+            for upstream in self.view.ready(backend.service)
+        ]
+
     def within_limits(self, ready: list[Upstream], is_copy: bool, now: float) -> list[Upstream]:
         """Return the upstreams whose limits leave room for a request.
 
@@ -140,12 +149,7 @@
 
     def limited_retry_s(self, route: Route, now: float) -> float | None:
         """Return when a request may come back if limits alone leave no room, else None."""
-        ready = [
-            upstream
-            for backend in route.backends
-            if backend.weight > 0
-            for upstream in self.view.ready(backend.service)
-        ]
+        ready = self.ready_of(route)
         if not ready or self.within_limits(ready, False, now):
             return None
         return self.permits.retry_after_s(ready, now)
@@ -170,12 +174,7 @@
 
     def is_full(self, route: Route, call: Call, now: float) -> bool:
         """Return whether no service of a route has a slot for a second copy, and log it."""
-        candidates = [
-            upstream
-            for backend in route.backends
-            if backend.weight > 0
-            for upstream in self.view.ready(backend.service)
-        ]
+        candidates = self.ready_of(route)
         if not self.is_service_full(candidates, now):
             return False
         events.emit(
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -676,7 +676,10 @@
         return is_late, run.is_spare, left, due_at
 
     def reward_limit(self, service: str) -> int:
-        """Return how many reward calls may be in flight at a service."""
+        """Return how many reward calls may be in flight at a service.
+
+        Calls wait in their order while the limits of all its upstreams leave no room.
+        """
         if not is_on(Mechanism.REWARD_SLOTS):
             return sys.maxsize
         now = clock.now()
