--- a/tests/test_recorded_limits.py
+++ b/tests/test_recorded_limits.py
@@ -9,6 +9,7 @@
 
 from apricotvale import clock
 from apricotvale.codec import decode, encode
+from apricotvale.daemons.capacity import usable_slots
 from apricotvale.daemons.limit_reporter import LimitReporter
 from apricotvale.daemons.permits import EntryPermits
 from apricotvale.discovery import Registry, RegistryState, RegistryView, Standing, Upstream
@@ -98,6 +99,18 @@
     assert view.limits.by_incarnation == {}
 
 
+@pytest.mark.parametrize(
+    ("limit", "run_s", "slots"), [(None, 1.5, 8), (2.0, 1.5, 3), (2.0, 0.0, 8), (50.0, 1.5, 8)]
+)
+def test_the_planned_slots_of_an_engine_are_those_that_its_limit_fills(limit, run_s, slots):
+    """Guards against a plan that counts on slots for which no run can start."""
+    assert usable_slots(evolve(FIRST, capacity=8, limit=limit), run_s) == slots
+
+
+def test_an_engine_with_the_lowest_limit_counts_for_one_run():
+    assert usable_slots(evolve(FIRST, limit=0.01), 1.0) == 1
+
+
 def test_upstreams_without_a_permit_do_not_use_up_the_sends_of_a_request():
     """Guards against a refusal while an upstream has room, because others have a limit."""
     request = ForwardedRequest(ROUTE, deadline=10.0)
