Send calls between processes without waiting for acknowledgements

Cause: the client made its socket without a protocol number, and asyncio sets TCP_NODELAY only with one. The second small write of a call then waits for a delayed acknowledgement of the first. This held for every call between processes.

Ruled out: a redirect to another replica (replies were permits), a starved loop.

Change: the client sets the option.

--- a/src/apricotvale/daemons/rpc.py
+++ b/src/apricotvale/daemons/rpc.py
@@ -126,6 +126,8 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        # asyncio sets this only for sockets that were created with an explicit protocol number.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             await self._loop.sock_connect(sock, (self._host, self._port))
             transport, protocol = await self._loop.create_connection(
