Ask a limited upstream again that has not been heard of for a while

What callers saw: an upstream that had recovered stayed limited at an entry and in the registry for as long as another one answered sooner. Its requests went on to need permits, and its service got no second copies of slow requests, as a limited upstream counts as full for these.

Cause: only an answer shows that a limit has ended, and the router sends all requests of a light load to the upstream with the better pace.

Ruled out: a late report of another process that renews the limit (the record's rate and holder did not change), and reports that do not arrive (the other upstream's did).

Change: an idle, healthy upstream whose limit this process has not heard of for 2 s is preferred for the next first attempt, if a permit is there. The request needs a permit as any other, so that no limit is exceeded.

--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -107,7 +107,8 @@
             candidates = self.with_room(ready, service, call)
             if not candidates:
                 continue
-            choice = self.router.choose(candidates, now, excluded=request.tried)
+            unheard = [] if request.tried else self.unheard(candidates, now)
+            choice = self.router.choose(unheard or candidates, now, excluded=request.tried)
             if isinstance(choice, Refusal):
                 continue
             events.emit(
@@ -147,6 +148,21 @@
             or (not is_copy and not self.permits.wait_s(upstream, now))
         ]
 
+    def unheard(self, candidates: list[Upstream], now: float) -> list[Upstream]:
+        """Return the idle upstreams whose limits may have ended without an answer that shows it.
+
+        Load pattern: the requests go to upstreams that answer sooner, so that one that has
+        recovered would stay limited.
+        """
+        limits = self.view.limits
+        return [
+            upstream
+            for upstream in candidates
+            if limits.is_unheard(upstream.incarnation, now)
+            and not self.router.load_of(upstream).in_flight
+            and self.router.is_healthy(upstream, now)
+        ]
+
     def limited_retry_s(self, route: Route, now: float) -> float | None:
         """Return when a request may come back if limits alone leave no room, else None."""
         ready = self.ready_of(route)
--- a/src/apricotvale/limits/known.py
+++ b/src/apricotvale/limits/known.py
@@ -8,6 +8,9 @@
 
 from apricotvale.limits.types import StatedLimit
 
+# A limit of which a process has not heard for this long may have ended.
+UNHEARD_S = 2.0
+
 
 @frozen
 class KnownLimit:
@@ -37,6 +40,11 @@
         known = self.by_incarnation.get(incarnation)
         return known.rate if known else None
 
+    def is_unheard(self, incarnation: str, now: float) -> bool:
+        """Return whether a limit may have ended since this process last heard of it."""
+        known = self.by_incarnation.get(incarnation)
+        return known is not None and known.rate is not None and now >= known.learned_at + UNHEARD_S
+
     def record(self, incarnation: str, stated: StatedLimit, sent_at: float, now: float) -> bool:
         """Record what an answer says; return whether it is news that control has to know.
 
--- a/tests/test_known_limits.py
+++ b/tests/test_known_limits.py
@@ -35,6 +35,15 @@
     assert limits.rate_of("d@1") == stated.rate
 
 
+def test_a_limit_is_unheard_when_no_answer_has_named_it_for_a_while(limits):
+    assert not limits.is_unheard("d@1", 2.9)
+    assert limits.is_unheard("d@1", 3.0)
+    limits.record("d@1", StatedLimit(2.0), sent_at=3.0, now=3.1)
+    assert not limits.is_unheard("d@1", 5.0)
+    limits.record("d@1", NO_LIMIT, sent_at=5.0, now=5.1)
+    assert not limits.is_unheard("d@1", 9.0) and not limits.is_unheard("d@2", 9.0)
+
+
 def test_each_statement_restarts_the_wait_for_a_later_request(limits):
     limits.record("d@1", StatedLimit(2.0), sent_at=1.5, now=3.0)
     assert not limits.record("d@1", NO_LIMIT, sent_at=2.0, now=4.0)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from apricotvale.limits.known import UNHEARD_S
 from tests.platform_site import Site, item, job
 
 WINDOW_S = 4.0
@@ -155,6 +156,19 @@
     assert (await find_leader(site)).state.registry.state.limits == {}
 
 
+async def test_a_limit_ends_at_an_upstream_that_another_one_outpaces(site):
+    """Guards against an upstream that stays limited because no request goes to it."""
+    for desk in site.desks:
+        desk.limit = "4"
+    await send_for(site, [site.url], 1.0, 0.1)
+    assert set((await find_leader(site)).state.registry.state.limits) == {"d-0", "d-1"}
+    site.entry.forwarder.router.observe(site.entry.link.view.upstreams["d-0"], 1.0, 1)
+    for desk in site.desks:
+        desk.limit = None
+    await send_for(site, [site.url], UNHEARD_S + SETTLE_S, 0.05, "b")
+    assert (await find_leader(site)).state.registry.state.limits == {}
+
+
 async def test_a_limit_belongs_to_one_incarnation(site):
     """Guards against a limit that a restarted upstream inherits."""
     desk = site.desks[0]
