Retire members of the control group again

What operators saw: POST /api/retire for a member of the group was answered 500, at any time and on every deployment whose group has a replica to spare; only spare replicas could be retired. Where none is to spare (three VMs and one that may fail) the answer was and is 409.

Cause: the log line of the retirement has a field called `name`, as has every line. `emit` passed both to loguru, which raised TypeError before the command was proposed.

The new test in test_platform.py failed with 500 (TypeError in the log), as did the one in test_names.py, which finds such fields in the source.

Change: the field is called `replica`. `emit` takes its event by position only and cannot fail by the names of fields: number and name of the event win. That no field is hidden thereby is what the second test checks.

Class of fault: logging that can fail the work that it describes. Its other part, values that JSON cannot encode, has a default encoder already.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -529,7 +529,7 @@
         ]
         if len(staying) < self.replica.peers.policy.voters:
             return calls.TooFewLeft()
-        events.emit(events.REPLICA_RETIRING, name=name, staying=[m.name for m in staying])
+        events.emit(events.REPLICA_RETIRING, replica=name, staying=[m.name for m in staying])
         return await self.commit(c.Retire(name))
 
     # Reads
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -327,9 +327,10 @@
     sys.stderr.write(f"{time} {record['level'].name:7} {process} {head} {fields}\n")
 
 
-def emit(kind: Event, **fields: Any) -> None:
-    """Log an event with its fields."""
-    logger.bind(event=kind.number, name=kind.name, **fields).log(kind.level, "")
+def emit(kind: Event, /, **fields: Any) -> None:
+    """Log an event with its fields, which must not be called `event` or `name`."""
+    line = {**fields, "event": kind.number, "name": kind.name}
+    logger.bind(**line).log(kind.level, "")
 
 
 def catalogue_page() -> str:
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ast
 import re
 from pathlib import Path
 
@@ -24,3 +25,17 @@
         if WIRE_NAMES.search(line)
     ]
     assert found == []
+
+
+def test_no_field_of_a_log_event_hides_its_number_or_name():
+    found = [
+        f"{path.relative_to(SOURCE)}:{call.lineno}: {keyword.arg}"
+        for path in sorted(SOURCE.rglob("*.py"))
+        for call in ast.walk(ast.parse(path.read_text()))
+        if isinstance(call, ast.Call)
+        and isinstance(call.func, ast.Attribute)
+        and ast.unparse(call.func) == "events.emit"
+        for keyword in call.keywords
+        if keyword.arg in ("event", "name")
+    ]
+    assert found == []
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -512,6 +512,33 @@
     assert (await site.control_call("POST", path, {"duration_s": 10}))[0] == 404
 
 
+async def test_a_member_of_the_group_can_be_retired_beside_a_learner(site):
+    """Guards against a retirement that ends in an unexpected error."""
+    first = site.controls[0].settings
+    contacts = [f"{c.settings.ip}:1" for c in site.controls]
+    await site.start_control("storage-3", "127.0.0.5", first.internal_port, contacts)
+
+    async def member_names():
+        for control in site.controls:
+            if control.replica.leads:
+                return {member.name for member in control.replica.node.group.members}
+        return set()
+
+    await site.wait_until(member_names, lambda found: "storage-3" in found)
+    path = names.RETIRE_PATH.format(name="storage-1")
+
+    async def retire():
+        return (await site.control_call("POST", path, {"duration_s": 10}))[0]
+
+    await site.wait_until(retire, lambda status: status == 200)
+
+    async def state():
+        return json.loads((await site.control_call("GET", path, {}))[1] or b"{}")
+
+    await site.wait_until(state, lambda found: found == {"state": "completed"})
+    assert await member_names() == {"storage-0", "storage-2", "storage-3"}
+
+
 async def test_an_upstream_that_stops_after_its_first_heartbeat_becomes_silent(site):
     """The leader's tasks run while the first heartbeat is still being committed."""
     at = next(at for at, control in enumerate(site.controls) if control.replica.leads)
