Let an empty replica join a group whose leader is none of its contacts

What operators saw: after the loss of a disk, no replacement came. A replica that asked to join became a learner, was removed as silent after 1.5 s and joined again, for as long as the leader was none of the three VMs named as contacts. The group went on with a voter or learner less, and a retirement was refused for lack of members.

Cause: the leader's messages reach the new replica, but its replies go to the addresses of members by its own log, which is empty, and else to its contacts. Members outside its target ignore them, so that a leader elsewhere hears nothing. The request to join went to the members that replies to probes had named, and arrived.

Ruled out: a slow install (no part is asked for, the replica answers operators meanwhile) and a lost connection (no peer-lost between the two). The new test starts a replica whose only contact is a follower: before, it knew no group after the time limit.

Change: as long as a replica is empty, the addresses that it heard count among its contacts.

Why tests missed it: the simulated groups address replicas by data id, without addresses; the tests on sockets gave a new replica all members as contacts.

--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -427,8 +427,12 @@
             self.post(LeaderDownEvent(self.node.leader_id))
 
     def contacts(self) -> list[str]:
-        """Return the addresses of all known replicas except this one."""
-        found = dict.fromkeys([*self.peers.contacts, *self.addresses()])
+        """Return the addresses of all known replicas except this one.
+
+        An empty replica knows the group, and where its leader is, only by replies to its probes.
+        """
+        heard = self.heard_addresses if self.is_empty() else []
+        found = dict.fromkeys([*self.peers.contacts, *self.addresses(), *heard])
         found.pop(self.peers.address, None)
         return list(found)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -539,6 +539,26 @@
     assert await member_names() == {"storage-0", "storage-2", "storage-3"}
 
 
+async def test_an_empty_replica_that_knows_only_a_follower_joins(site):
+    """Guards against a replacement whose replies do not reach a leader outside its contacts."""
+
+    async def find_leader():
+        return [c for c in site.controls if c.replica.leads]
+
+    leader = (await site.wait_until(find_leader, bool))[0]
+    first = site.controls[0].settings
+    follower = next(c for c in site.controls if c is not leader)
+    contacts = [f"{follower.settings.ip}:1"]
+    await site.start_control("storage-3", "127.0.0.5", first.internal_port, contacts)
+    added = site.controls[-1]
+
+    async def known_names():
+        return {member.name for member in added.replica.node.group.members}
+
+    names_of_all = {f"storage-{number}" for number in range(4)}
+    await site.wait_until(known_names, lambda found: found == names_of_all)
+
+
 async def test_an_upstream_that_stops_after_its_first_heartbeat_becomes_silent(site):
     """The leader's tasks run while the first heartbeat is still being committed."""
     at = next(at for at, control in enumerate(site.controls) if control.replica.leads)
