--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -329,8 +329,8 @@
 
 def emit(kind: Event, /, **fields: Any) -> None:
     """Log an event with its fields, which must not be called `event` or `name`."""
-    line = {**fields, "event": kind.number, "name": kind.name}
-    logger.bind(**line).log(kind.level, "")
+    head = {"event": kind.number, "name": kind.name}
+    logger.bind(**(head | fields | head)).log(kind.level, "")
 
 
 def catalogue_page() -> str:
