Fail tests in which a server logs an error of the program itself

Why tests missed: servers of tests answer 500 and log a TypeError, and a test that waits for another status, or expects a refusal, sees no difference. An automatic fixture now fails each test in which a TypeError, AttributeError, NameError or LookupError of a handler or task was logged. Wider (every logged error) was tried: tests that send malformed input log those errors by intent.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,8 @@
 # They run one after the other in the same worker.
 PROCESS_FILES = ("test_demo.py", "test_processes.py")
 
+PROGRAMMING_ERRORS = (TypeError, AttributeError, NameError, LookupError)
+
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -23,6 +25,22 @@
     events.configure("test", level="CRITICAL")
 
 
+@pytest.fixture(autouse=True)
+def no_programming_errors(caplog):
+    """Fail a test in which a server or a task logged an error of the program itself.
+
+    Guards against requests that always end in such an error, which a test takes for a refusal.
+    """
+    yield
+    found = [
+        (record.getMessage(), repr(record.exc_info[1]))
+        for phase in ("setup", "call")
+        for record in caplog.get_records(phase)
+        if record.exc_info and isinstance(record.exc_info[1], PROGRAMMING_ERRORS)
+    ]
+    assert found == []
+
+
 @pytest.fixture
 def examples():
     return ROOT / "examples"
