Notice upstreams that stop before their registration is committed

What callers saw: an upstream whose first heartbeat took longer than 3.5 heartbeats to commit, and that sent no other, stayed ready: requests went to it until each entry had ejected it, and again after each ejection.

Cause: the leader keeps the time of each upstream's last heartbeat, and drops the record of one that is not in the registry when the time is up. The commit that came later registered the upstream without a record, and only upstreams with a record become silent. A new leader has the same gap: it makes its records before the entries of former terms are applied, so that an upstream among these gets none; found by reading, same mend.

Now it delays the registration only, by .3 s and by 2.5 s; its bound stays.

Change: every registered upstream has a record; one without counts as heard from now.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -666,9 +666,16 @@
             self.replica.post_transfer()
 
     def mark_silent_upstreams(self, now: float) -> None:
-        """Commit a `Silence` for each upstream that has sent no heartbeat for too long."""
+        """Commit a `Silence` for each upstream that has sent no heartbeat for too long.
+
+        One that was registered by a late commit, without a heartbeat on record, counts as heard
+        from now.
+        """
         cutoff = now - MAX_MISSED_HEARTBEATS * self.settings.heartbeat_ms / 1000
         upstreams = self.state.registry.state.upstreams
+        for upstream_id in upstreams.keys() - self.last_heartbeats.keys():
+            order = upstreams[upstream_id].order
+            self.last_heartbeats[upstream_id] = LastHeartbeat(order, now)
         for upstream_id, last in list(self.last_heartbeats.items()):
             upstream = upstreams.get(upstream_id)
             if last.silent_since >= cutoff:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,7 @@
 from apricotvale.daemons import fleet_link, replica
 from apricotvale.daemons.fleet_control import TIMING
 from apricotvale.discovery import Standing
+from apricotvale.fleet import commands
 from apricotvale.platform import names
 from tests.platform_site import Site, item, job, table
 
@@ -559,14 +560,20 @@
     await site.wait_until(known_names, lambda found: found == names_of_all)
 
 
-async def test_an_upstream_that_stops_after_its_first_heartbeat_becomes_silent(site):
-    """The leader's tasks run while the first heartbeat is still being committed."""
+@pytest.mark.parametrize("commit_s", [0.3, 2.5])
+async def test_an_upstream_that_stops_after_its_first_heartbeat_becomes_silent(site, commit_s):
+    """The leader's tasks run while the first heartbeat is still being committed.
+
+    A commit that takes longer than the time after which an upstream counts as silent ends the
+    record of its heartbeat.
+    """
     at = next(at for at, control in enumerate(site.controls) if control.replica.leads)
     control = site.controls[at]
     commit = control.commit
 
     async def slow_commit(command):
-        await asyncio.sleep(0.3)
+        if isinstance(command, commands.Announce):
+            await asyncio.sleep(commit_s)
         return await commit(command)
 
     control.commit = slow_commit
