Share the fixture of a running deployment among the tests

Seven test files had the same fixture, and an eighth one with a table of its own, which now builds on it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 
 from apricotvale import events
 from scripts import ports
+from tests.platform_site import Site
 
 MAX_WORKERS = 5
 # Tests of these files start processes of their own, or need a quiet machine for their time limits.
@@ -41,6 +42,15 @@
     assert found == []
 
 
+@pytest.fixture
+async def site(tmp_path):
+    """A deployment on the platform: control replicas, an entry, and upstreams that stay ready."""
+    async with Site(tmp_path) as site:
+        await site.wait_until_ready()
+        site.keep_sending_heartbeats()
+        yield site
+
+
 @pytest.fixture
 def examples():
     return ROOT / "examples"
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -23,7 +23,7 @@
 from apricotvale.platform import names
 from apricotvale.requests.calls import Answer, Call
 from apricotvale.routes import Backend, Route, RouteKind, RouteTable
-from tests.platform_site import Site, item, job, table
+from tests.platform_site import item, job, table
 
 GROUP = GroupWork("open", "g", 0, ("", "m"), 8.0, 12.0, 4.0, 4.0, 1.0)
 NEW = evolve(GROUP, job_id="new")
@@ -80,14 +80,6 @@
 # Over real sockets
 
 
-@pytest.fixture
-async def site(tmp_path):
-    async with Site(tmp_path) as site:
-        await site.wait_until_ready()
-        site.keep_sending_heartbeats()
-        yield site
-
-
 async def submit(site, job_id, document):
     fields = {"Host": "desk.example", names.REQUEST_ID: job_id}
     body = json.dumps(document).encode()
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -8,22 +8,13 @@
 import pytest
 
 from apricotvale.platform import names
-from tests.platform_site import HOST, Site, table
+from tests.platform_site import HOST, table
 
 ANSWER_TIMEOUT_S = 3.0
 MAX_BODY_BYTES = 1_000_000
 MAX_HEADER_BYTES = 16_384
 
 
-@pytest.fixture
-async def site(tmp_path):
-    async with Site(tmp_path) as site:
-        await site.wait_until_ready()
-        # Without further heartbeats the upstreams count as silent after 1.75 s.
-        site.keep_sending_heartbeats()
-        yield site
-
-
 def request_head(*fields, path="/fees/1", method="POST"):
     lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"{names.REQUEST_ID}: r-1"]
     lines += [f"{names.DEADLINE_MS}: 1500", *fields]
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -19,7 +19,7 @@
 from apricotvale.fleet.state import FleetState
 from apricotvale.jobs import Item, ItemState, Job, Progress, Result
 from apricotvale.jobs.transcript import Transcript
-from tests.platform_site import Site, item, job
+from tests.platform_site import item, job
 
 JOB = Job("j-1", "h", "/jobs", (Item("i-1", "/run", {}, b"prompt"),), model="m")
 
@@ -112,14 +112,6 @@
 # Copies of results
 
 
-@pytest.fixture
-async def site(tmp_path):
-    async with Site(tmp_path) as site:
-        await site.wait_until_ready()
-        site.keep_sending_heartbeats()
-        yield site
-
-
 def move_apart(site, near):
     """Put each control replica in a domain of its own, and the entry into that of one of them."""
     for number, control in enumerate(site.controls):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -11,7 +11,7 @@
 from apricotvale.codec import decode, encode
 from apricotvale.discovery import Registry, RegistryState, RegistryView, Standing, Upstream
 from apricotvale.fleet import calls
-from tests.platform_site import Site, item, job, table
+from tests.platform_site import item, job, table
 
 FIRST = Upstream("i-1", 1000, 1, "desk", "10.0.0.1:80", "szeged", 6, Standing.READY)
 RESTARTED = evolve(FIRST, born_ms=2000)
@@ -106,14 +106,6 @@
 # Over sockets
 
 
-@pytest.fixture
-async def site(tmp_path):
-    async with Site(tmp_path) as site:
-        await site.wait_until_ready()
-        site.keep_sending_heartbeats()
-        yield site
-
-
 def standing(site, entry, upstream_id):
     return entry.link.view.upstreams[upstream_id].standing
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,20 +12,12 @@
 import pytest
 
 from apricotvale.limits.known import UNHEARD_S
-from tests.platform_site import Site, item, job
+from tests.platform_site import item, job
 
 WINDOW_S = 4.0
 SETTLE_S = 0.5
 
 
-@pytest.fixture
-async def site(tmp_path):
-    async with Site(tmp_path) as site:
-        await site.wait_until_ready()
-        site.keep_sending_heartbeats()
-        yield site
-
-
 @pytest.fixture
 async def second_url(site):
     """The address of another entry, which has the table and all upstreams."""
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -8,7 +8,7 @@
 import pytest
 
 from apricotvale.platform import names
-from tests.platform_site import HOST, Site, item, job, table
+from tests.platform_site import HOST, item, job, table
 from tests.platform_standin import StandIn
 
 UNSAFE_ROUTE = {
@@ -25,14 +25,6 @@
 PROMISES = {408, 421, 429, 503}
 
 
-@pytest.fixture
-async def site(tmp_path):
-    async with Site(tmp_path) as site:
-        await site.wait_until_ready()
-        site.keep_sending_heartbeats()
-        yield site
-
-
 async def put_unsafe_route(site):
     document = table(2)
     document["routes"].append(UNSAFE_ROUTE)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -14,7 +14,7 @@
 from apricotvale.platform.interface import ControlInterface
 from apricotvale.settings.fleet import FleetSettings
 from scripts.ports import free_address
-from tests.platform_site import HOST, Site, table
+from tests.platform_site import HOST, table
 
 CALLERS = 200
 # Connections that are opened when the stop comes are accepted within it, also on a busy machine.
@@ -25,14 +25,11 @@
 
 
 @pytest.fixture
-async def site(tmp_path):
-    async with Site(tmp_path) as site:
-        await site.wait_until_ready()
-        site.keep_sending_heartbeats()
-        document = table(2)
-        document["routes"][0]["timeout_ms"] = DEADLINE_MS
-        await site.put_table_until_accepted(document)
-        yield site
+async def site(site):
+    document = table(2)
+    document["routes"][0]["timeout_ms"] = DEADLINE_MS
+    await site.put_table_until_accepted(document)
+    return site
 
 
 @define
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,16 +16,7 @@
 from apricotvale.discovery import Standing
 from apricotvale.fleet import commands
 from apricotvale.platform import names
-from tests.platform_site import Site, item, job, table
-
-
-@pytest.fixture
-async def site(tmp_path):
-    async with Site(tmp_path) as site:
-        await site.wait_until_ready()
-        site.keep_sending_heartbeats()
-        yield site
-
+from tests.platform_site import item, job, table
 
 # Configuration
 
