Log the identity of requests whose upstream closed the connection

The logs of the incident name only the ids of submissions, which are new each time, and do not tell an upstream that ended from one that only closed a connection. Event 210 names the identity of the request and whether the upstream accepts new connections. No decision uses either yet.

--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -257,6 +257,15 @@
             ran=result.ran,
             detail=result.detail,
         )
+        if result.reason is Reason.UPSTREAM_LOST:
+            events.emit(
+                events.CONNECTION_LOST,
+                request=call.request_id,
+                identity=call.identity,
+                upstream=upstream.incarnation,
+                ran_ms=round((clock.now() - started_at) * 1000),
+                accepts=await self.client.accepts_connections(upstream),
+            )
         if result.reason is Reason.OVERLOADED:
             self.full_since[upstream.incarnation] = clock.now()
             self.refused_at[upstream.service] = clock.now()
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -58,6 +58,12 @@
 ANSWERED = event(209, "answered", "INFO", "A request got its final answer.")
 STREAM_CUT = event(205, "stream-cut", "WARNING", "A stream ended before its end marker.")
 CANCELLED = event(206, "cancelled", "INFO", "A caller disconnected, or the drain deadline passed.")
+CONNECTION_LOST = event(
+    210,
+    "connection-lost",
+    "INFO",
+    "An upstream closed the connection of a request; whether it accepts new ones, None if unknown.",
+)
 PREEMPTED = event(207, "preempted", "INFO", "A sample was preempted by interactive requests.")
 
 ATTEMPT_FAILED = event(208, "attempt-failed", "INFO", "An attempt at an upstream failed.")
--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -29,7 +29,11 @@
     says_leaving,
     stated_limit,
 )
-from apricotvale.platform.connections import UpstreamConnection, make_session
+from apricotvale.platform.connections import (
+    CONNECT_TIMEOUT_S,
+    UpstreamConnection,
+    make_session,
+)
 from apricotvale.requests.calls import Answer, Call, RunRequest
 from apricotvale.requests.held_bytes import ByteBudget
 from apricotvale.weights.messages import EngineReport, LoadOrder, OrderOutcome
@@ -107,6 +111,19 @@
             result = refusal_from_error(error)
         return with_statements(result, is_leaving, limit)
 
+    async def accepts_connections(self, upstream: Upstream) -> bool | None:
+        """Return whether the upstream's address accepts connections, None if that is not known."""
+        host, _, port = upstream.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return False
+        except (OSError, ValueError):
+            return None
+        writer.close()
+        return True
+
     @asynccontextmanager
     async def run(
         self, upstream: Upstream, request: RunRequest
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -113,6 +113,7 @@
                 deadline,
                 fields,
                 upstream_customer(table, route, caller.customer),
+                caller.customer,
             )
             result = await self.entry.forward(route, call, arrived)
             if isinstance(result, Refusal):
--- a/src/apricotvale/requests/calls.py
+++ b/src/apricotvale/requests/calls.py
@@ -4,10 +4,12 @@
 
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
+from functools import cached_property
 from typing import Protocol
 
 from attrs import field, frozen
 
+from apricotvale.crashes.identity import identify
 from apricotvale.discovery import Upstream
 from apricotvale.limits.types import StatedLimit
 from apricotvale.outcomes import Refusal
@@ -24,6 +26,8 @@
     :param deadline: on `clock.now`, in seconds; the remaining time is sent with the request.
     :param customer: customer that the upstream is told; None leaves the header fields unchanged,
         empty text removes those that name a customer or hold a key.
+    :param caller: customer that sent the request, empty without customers; None for the system's
+        own requests.
     """
 
     method: str
@@ -34,6 +38,14 @@
     deadline: float
     headers: tuple[tuple[str, str], ...] = ()
     customer: str | None = None
+    caller: str | None = None
+
+    @cached_property
+    def identity(self) -> str:
+        """Return what all submissions of the request share, empty for the system's own requests."""
+        if self.caller is None:
+            return ""
+        return identify(self.method, self.host, self.target, self.caller, self.body)
 
 
 @frozen
@@ -101,6 +113,9 @@
     ) -> AbstractAsyncContextManager[RunStream | Answer | Refusal]:
         """Open an event stream; leaving the context cancels the run."""
 
+    async def accepts_connections(self, upstream: Upstream) -> bool | None:
+        """Return whether the upstream's address accepts connections, None if that is not known."""
+
     async def report(self, upstream: Upstream) -> EngineReport | Refusal:
         """Fetch an engine's state report."""
 
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -175,6 +175,18 @@
         self.url, self.readiness = f"http://{address}", f"http://{ready}{names.READY_PATH}"
         self.tasks.append(asyncio.create_task(self.entry.run(asyncio.Event())))
 
+    async def add_desks(self, count):
+        """Start further upstreams of the plain service, and wait until the entry has them."""
+        for _ in range(count):
+            self.desks.append(await self.standin(f"d-{len(self.desks)}", "desk"))
+        await self.send_heartbeats()
+
+        async def known():
+            return len(self.entry.link.view.upstreams)
+
+        upstreams = len(self.desks) + len(self.engines)
+        await self.wait_until(known, lambda found: found == upstreams)
+
     async def start_second_entry(self):
         """Start another entry; return it and its address once it has the table and all upstreams.
 
@@ -185,10 +197,12 @@
         second, second_url = self.entry, self.url
         self.entry, self.url, self.readiness = first, url, readiness
 
+        upstreams = len(self.desks) + len(self.engines)
+
         async def state():
             return len(second.link.view.upstreams), second.link.table is not None
 
-        await self.wait_until(state, lambda found: found == (4, True))
+        await self.wait_until(state, lambda found: found == (upstreams, True))
         return second, second_url
 
     async def standin(self, name, service, models=None):
@@ -260,6 +274,8 @@
             while True:
                 await asyncio.sleep(HEARTBEAT_S)
                 for standin in [*self.desks, *self.engines]:
+                    if standin.is_down:
+                        continue
                     at = next((n for n, c in enumerate(self.controls) if c.replica.leads), 0)
                     with suppress(aiohttp.ClientError):
                         await self.send_heartbeat(standin, self.states[standin.upstream_id], at)
@@ -278,11 +294,13 @@
 
     # Calls of callers
 
-    async def request(self, path, request_id="r-1", method="POST", host=HOST, url="", **headers):
+    async def request(
+        self, path, request_id="r-1", method="POST", host=HOST, url="", body=b"x", **headers
+    ):
         extra = {name.replace("_", "-"): value for name, value in headers.items()}
         fields = {"Host": host, names.REQUEST_ID: request_id, names.DEADLINE_MS: "1500", **extra}
         async with self.session.request(
-            method, (url or self.url) + path, headers=fields, data=b"x"
+            method, (url or self.url) + path, headers=fields, data=body
         ) as response:
             return response.status, response.headers, await response.read()
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 import time
+from collections.abc import Awaitable, Callable
 
 from attrs import define, field
 
@@ -59,6 +60,11 @@
     :param born: start time in its heartbeats.
     :param read_s: pause before it reads the body of a request, in seconds.
     :param body: body of a good answer; None for one that names the request.
+    :param deadly: bodies of requests that end the upstream while it runs them.
+    :param crash_s: time from the begin of such a request until the upstream ends, in seconds.
+    :param restart_s: time from its end until it is back under its id and address, in seconds.
+    :param crashed_by: ids of the requests that ended it.
+    :param on_start: awaited when it is back.
     """
 
     upstream_id: str
@@ -81,21 +87,45 @@
     born: int = 1
     read_s: float = 0.0
     body: bytes | None = None
-
-    @property
-    def address(self):
-        host, port = self.server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
+    deadly: set[bytes] = field(factory=set)
+    crash_s: float = 0.05
+    restart_s: float = 0.8
+    crashed_by: list[str] = field(factory=list)
+    on_start: Callable[[], Awaitable[None]] | None = None
+    address: str = ""
+    is_down: bool = False
+    restarts: set = field(factory=set)
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
         return self
 
     async def __aexit__(self, *exc_info):
+        for task in self.restarts:
+            task.cancel()
         self.server.close()
         for writer in list(self.writers):
             writer.close()
 
+    def crash(self):
+        """End at once with all connections, and start again after a while."""
+        self.is_down = True
+        self.server.close()
+        for writer in list(self.writers):
+            reset_connection(writer)
+        self.restarts.add(asyncio.create_task(self.restart()))
+
+    async def restart(self):
+        await asyncio.sleep(self.restart_s)
+        host, _, port = self.address.rpartition(":")
+        self.server = await asyncio.start_server(self.serve, host, int(port))
+        self.born += 1
+        self.is_down = False
+        if self.on_start is not None:
+            await self.on_start()
+
     def heartbeat(self, sequence, state="ready"):
         return {
             "service": self.service,
@@ -143,6 +173,12 @@
             return await self.accept_order(writer, json.loads(body))
         if headers.get("expect-instance") not in (None, self.upstream_id):
             return await self.send(writer, 421, [("Replica-Id", self.upstream_id)], b"")
+        if body in self.deadly:
+            await asyncio.sleep(self.crash_s)
+            if not self.is_down and not writer.is_closing():
+                self.crashed_by.append(headers.get("request-id", ""))
+                self.crash()
+            return False
         return await self.answer(writer, headers)
 
     def statements(self):
