--- a/src/apricotvale/explanation.py
+++ b/src/apricotvale/explanation.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Iterable
+from datetime import UTC, datetime
 from typing import Any
 
 from attrs import frozen
@@ -55,6 +56,7 @@
     """Return the lines about a request, job or item, sorted by time.
 
     The lines about an item include those about its reward calls, which have their own request ids.
+    Those about a request that was stopped include the crashes of its other submissions.
 
     :param wanted: id of the request, job or item.
     """
@@ -63,14 +65,37 @@
         is_item = line.fields.get("item") == wanted
         if is_item and line.name == events.REWARD_FAILED.name and "request" in line.fields:
             ids.add(str(line.fields["request"]))
-    matching = [line for line in lines if any(line.fields.get(name) in ids for name in ID_FIELDS)]
+    identities = {
+        line.fields["identity"]
+        for line in lines
+        if line.name == events.REQUEST_STOPPED.name and line.fields.get("request") == wanted
+    }
+    matching = [
+        line
+        for line in lines
+        if any(line.fields.get(name) in ids for name in ID_FIELDS)
+        or (line.name == events.CRASH_FOUND.name and line.fields.get("identity") in identities)
+    ]
     return sorted(matching, key=lambda line: line.at)
 
 
+def format_crash(crash: dict[str, Any]) -> str:
+    """Return a crash of a stopped request in readable form."""
+    at = datetime.fromtimestamp(float(crash.get("at", 0)), UTC).isoformat(timespec="milliseconds")
+    return (
+        f"{crash.get('upstream')} at {at}, seen by {crash.get('process')}, "
+        f"submission {crash.get('request')}"
+    )
+
+
 def find_cause(lines: list[LogLine]) -> str:
     """Return the most specific cause of failure that the lines about one id show."""
     if not lines:
         return "no process logged anything about it: it never arrived, or its lines were dropped"
+    stopped = [line for line in lines if line.name == events.REQUEST_STOPPED.name]
+    if stopped:
+        crashes = "; ".join(map(format_crash, stopped[-1].fields.get("crashes", [])))
+        return f"refused, since upstreams ended while they ran this request: {crashes}"
     failures = [line for line in lines if line.name == events.ATTEMPT_FAILED.name]
     refused = [line for line in lines if line.name == events.REFUSED.name]
     if refused and failures:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -44,6 +44,21 @@
         "i",
         "listed as failed: its reward call failed 4 times, the last with 500",
     ),
+    "stopped": (
+        [
+            log_line(1, events.CRASH_FOUND, "edge-2", request="r-1", identity="x", upstream="d"),
+            log_line(2, events.CRASH_FOUND, "edge-2", request="r-2", identity="y", upstream="d"),
+            log_line(
+                3,
+                events.REQUEST_STOPPED,
+                request="r",
+                identity="x",
+                crashes=[{"upstream": "d", "process": "edge-2", "request": "r-1", "at": 1.5}],
+            ),
+        ],
+        "r",
+        "d at 1970-01-01T00:00:01.500+00:00, seen by edge-2, submission r-1",
+    ),
     "new leader": (
         [log_line(at, events.ITEM_PLACED, f"storage-{at}", item="i") for at in (1, 2)],
         "i",
@@ -75,3 +90,11 @@
     output = CliRunner().invoke(cli, ["explain", "r-1", str(path)]).output
     names = [name for name in ("routed", "attempt-failed", "refused") if name in output]
     assert sorted(names, key=output.index) == ["routed", "attempt-failed", "refused"]
+
+
+def test_a_stopped_request_shows_the_crashes_of_its_other_submissions(tmp_path):
+    """Guards against a refusal whose cause stands only in the logs of other processes."""
+    path = tmp_path / "all.log"
+    path.write_text("\n".join(CASES["stopped"][0]))
+    output = CliRunner().invoke(cli, ["explain", "r", str(path)]).output
+    assert "request=r-1" in output and "request=r-2" not in output
