--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -66,6 +66,8 @@
 RETENTION_MARGIN_S = 30.0
 BYTES_PER_MIB = 1024 * 1024
 TRANSFER_WAIT_S = 1.0
+# Replicas join a new group, or replace one that was lost, within this time.
+GROUP_SETTLE_S = 15.0
 # A leader refuses no job for lack of capacity before it has led for this long.
 MIN_LEADING_S = 1.0
 
@@ -159,6 +161,8 @@
         self.proposed_jobs: Counter[str] = Counter()
         self.leading_term = 0
         self.leading_since = float("inf")
+        # When the group became too small; infinite once that was reported.
+        self.group_small_since: float | None = None
         self.purge_at = 0.0
         self.changed = asyncio.Event()
         self.watched = (0, 0)
@@ -682,6 +686,7 @@
         self.view.apply(self.state.registry.since(self.view.position), now)
         if self.replica.node.term_start_index > self.replica.node.applied_index:
             return
+        self.check_group(now)
         self.mark_silent_upstreams(now)
         self.crashes.tick(now)
         self.purge_jobs(now)
@@ -692,6 +697,28 @@
         if self.settings.name in self.state.retiring:
             self.replica.post_transfer()
 
+    def check_group(self, now: float) -> None:
+        """Report once that the group stays smaller than the losses that it has to bear need.
+
+        Nothing else shows it: the group serves as before until the disks are lost.
+        """
+        group, policy = self.replica.node.group, self.replica.peers.policy
+        missing = max(0, policy.voters - len(group.voters()))
+        metrics.VOTERS_MISSING.set(missing)
+        if not missing:
+            self.group_small_since = None
+            return
+        if self.group_small_since is None:
+            self.group_small_since = now
+        if self.group_small_since + GROUP_SETTLE_S <= now < float("inf"):
+            self.group_small_since = float("inf")
+            events.emit(
+                events.GROUP_TOO_SMALL,
+                voters=len(group.voters()),
+                needed=policy.voters,
+                failures=self.settings.failures,
+            )
+
     def mark_silent_upstreams(self, now: float) -> None:
         """Commit a `Silence` for each upstream that has sent no heartbeat for too long.
 
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -260,6 +260,12 @@
 PEER_LOST = event(507, "peer-lost", "WARNING", "A control replica does not answer a peer.")
 PEER_FOUND = event(508, "peer-found", "INFO", "A control replica answers a peer again.")
 GROUP_CHANGED = event(506, "group-changed", "INFO", "The group of control replicas changed.")
+GROUP_TOO_SMALL = event(
+    513,
+    "group-too-small",
+    "ERROR",
+    "The group has fewer voters than the losses that it has to bear need, and no replica joins.",
+)
 PART_UNAVAILABLE = event(
     509, "part-unavailable", "WARNING", "A part of a snapshot could not be read or fetched."
 )
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -57,6 +57,10 @@
     "apricotvale_start_processor_seconds", "Processor time from the start to the open port."
 )
 IS_LEADER = Gauge("apricotvale_leads", "Whether this replica leads.")
+VOTERS_MISSING = Gauge(
+    "apricotvale_voters_missing",
+    "Voters that the group lacks for the losses that it has to bear, at the leader.",
+)
 JOB_BYTES = Gauge(
     "apricotvale_job_bytes", "Bytes of jobs and results held, as of the last new job."
 )
