Separate a submission from the forwarder, and bound the wait of a retry for a dark upstream

A submission that is forwarded, its copies and its trial are state with an owner: Submission and Supervision, apart from the choice of upstreams. A retry after a lost connection waited for a check of up to 0.5 s when the upstream was dark; it waits 0.1 s now and the check goes on without it, and 0.3 s for the record of control (was 0.5 s).

The bound of three upstreams stands.

--- a/src/apricotvale/daemons/crash_guard.py
+++ b/src/apricotvale/daemons/crash_guard.py
@@ -4,26 +4,26 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Sequence
-from enum import Enum
+from collections.abc import Awaitable, Callable
 from typing import Any
 
-from attrs import define
-
 from apricotvale import clock, events, metrics
 from apricotvale.crashes.book import Crash, CrashReport
 from apricotvale.crashes.evidence import LOSS_KEEP_S, Loss, Losses, has_ended, is_planned
 from apricotvale.crashes.known import MAX_OWN, OWN_KEEP_S, KnownSuspect, KnownSuspects
 from apricotvale.daemons.runtime import TaskGroup
+from apricotvale.daemons.supervision import Supervision, TrialState
 from apricotvale.discovery import RegistryView, Upstream
 from apricotvale.fleet import calls
 from apricotvale.requests.calls import Call, UpstreamClient
 
+# Time for which a submission waits for the check of the upstream that it lost.
+CHECK_WAIT_S = 0.1
 # Time for which a submission waits for control to record what it has found.
-REPORT_TIMEOUT_S = 0.5
+REPORT_TIMEOUT_S = 0.3
 REPORT_INTERVAL_S = 0.5
 # Time for which one call for a trial may wait at the leader, and for its answer.
-TRIAL_WAIT_S = 0.5
+TRIAL_WAIT_S = 0.2
 TRIAL_MARGIN_S = 0.25
 # Without control a request is tried by this process alone while fewer upstreams ended under it.
 MAX_CRASHES_WITHOUT_CONTROL = 2
@@ -33,118 +33,6 @@
 Ask = Callable[[Any, float], Awaitable[Any]]
 
 
-class TrialState(Enum):
-    """A submission's part in the trials of its request.
-
-    REFUSED: there is none for it in time, so that it cannot be served.
-    EXEMPT: it needs none, since control does not suspect the request, or it cannot be withdrawn.
-    """
-
-    NONE = "none"
-    ASKED = "asked"
-    GRANTED = "granted"
-    DENIED = "denied"
-    REFUSED = "refused"
-    EXEMPT = "exempt"
-
-
-@define(eq=False)
-class Supervision:
-    """One submission in flight, as a context manager.
-
-    :param changed: done once what is known of the request, or of its trial, has changed.
-    :param upstream: incarnation at which a granted trial runs.
-    """
-
-    guard: CrashGuard
-    call: Call
-    changed: asyncio.Future[None]
-    trial: TrialState = TrialState.NONE
-    upstream: str = ""
-    asking: asyncio.Task[None] | None = None
-    has_asked: bool = False
-    is_answered: bool = False
-
-    def __enter__(self) -> Supervision:
-        if self.call.caller is not None:
-            self.guard.in_flight.add(self)
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        self.guard.in_flight.discard(self)
-        if self.asking is not None:
-            self.asking.cancel()
-        if self.has_asked:
-            self.guard.end_trial(self.call, answered=False)
-
-    def suspicion(self, now: float) -> KnownSuspect | None:
-        """Return what is known against the request, None if it is not suspected."""
-        return self.guard.suspicion(self.call, now)
-
-    @property
-    def is_waiting(self) -> bool:
-        """Return whether a call for a trial is under way."""
-        return self.trial is TrialState.ASKED
-
-    def has_trial_at(self, upstream: Upstream) -> bool:
-        """Return whether the submission has a trial that runs at an upstream."""
-        return self.trial is TrialState.GRANTED and self.upstream == upstream.incarnation
-
-    def notify(self) -> None:
-        """Wake the task that forwards the submission."""
-        if not self.changed.done():
-            self.changed.set_result(None)
-
-    def rearm(self) -> None:
-        """Prepare for the next change."""
-        if self.changed.done():
-            self.changed = asyncio.get_running_loop().create_future()
-
-    def may_send(self, in_flight: int, now: float) -> bool:
-        """Return whether a copy may be sent: a request under suspicion needs a trial for one."""
-        if self.suspicion(now) is None or self.trial is TrialState.EXEMPT:
-            return True
-        return self.trial is TrialState.GRANTED and not in_flight
-
-    def needs_trial(self, now: float) -> bool:
-        """Return whether a trial is to be asked for."""
-        is_open = self.trial in (TrialState.NONE, TrialState.DENIED)
-        return is_open and self.suspicion(now) is not None
-
-    def ask(self, candidates: Sequence[str], has_copy: bool) -> None:
-        """Ask for a trial.
-
-        :param candidates: incarnations in order of preference.
-        :param has_copy: whether a copy is in flight at the only candidate.
-        """
-        self.trial = TrialState.ASKED
-        self.has_asked = True
-        work = self.guard.begin_trial(self, list(candidates), has_copy)
-        self.asking = asyncio.create_task(work)
-
-    def settle(self, trial: TrialState, upstream: str = "") -> None:
-        """Set the outcome of a call for a trial."""
-        self.trial, self.upstream = trial, upstream
-        metrics.TRIALS.labels(trial.value).inc()
-        self.notify()
-
-    def finish_copy(self, answered: bool) -> None:
-        """Record that a copy has its result; an answer clears the request."""
-        self.is_answered = self.is_answered or answered
-        if answered and self.suspicion(clock.now()) is not None:
-            self.give_back(answered=True)
-        elif self.trial in (TrialState.GRANTED, TrialState.EXEMPT):
-            self.give_back(answered=False)
-
-    def give_back(self, answered: bool = False) -> None:
-        """End the trial, or what takes its place; the next copy needs another one."""
-        if answered or self.trial is TrialState.GRANTED:
-            self.guard.end_trial(self.call, answered)
-            self.has_asked = False
-        if self.trial is not TrialState.ASKED:
-            self.trial, self.upstream = TrialState.NONE, ""
-
-
 class CrashGuard:
     """What an entry knows of requests that end upstreams, and its submissions in flight.
 
@@ -198,23 +86,34 @@
     ) -> None:
         """Look for evidence that an upstream ended, once it has closed a request's connection.
 
-        Returns when what was found is recorded by control, or after `REPORT_TIMEOUT_S`. The work
-        goes on if the caller of this method is cancelled, since its request is refused by then.
+        Returns when what was found is recorded by control. A dark upstream neither accepts nor
+        refuses connections, and control may be slow: the time that a retry waits for them is
+        bounded, and the work goes on without it.
 
         :param started_at: when the request was sent there, on `clock.now`.
         """
         if supervision.call.caller is None or is_planned(upstream, self.view):
             return
-        work = self.tasks.start(self.look_for_end(upstream, supervision, started_at))
-        await asyncio.shield(work)
+        check = self.check(upstream)
+        work = self.tasks.start(self.look_for_end(upstream, supervision, started_at, check))
+        await asyncio.wait({check}, timeout=CHECK_WAIT_S)
+        if check.done():
+            await asyncio.shield(work)
 
     async def look_for_end(
-        self, upstream: Upstream, supervision: Supervision, started_at: float
+        self,
+        upstream: Upstream,
+        supervision: Supervision,
+        started_at: float,
+        check: asyncio.Task[bool | None],
     ) -> None:
-        """Look for evidence that an upstream ended, and record it."""
+        """Look for evidence that an upstream ended, and record it.
+
+        :param check: the check whether the upstream accepts connections.
+        """
         call, is_trial = supervision.call, supervision.has_trial_at(upstream)
         at_ms = round(time.time() * 1000)
-        accepts = await self.check(upstream)
+        accepts = await check
         now = clock.now()
         events.emit(
             events.CONNECTION_LOST,
@@ -235,14 +134,14 @@
         else:
             self.losses.add(loss)
 
-    async def check(self, upstream: Upstream) -> bool | None:
-        """Return whether an upstream accepts connections; losses at the same time share a check."""
+    def check(self, upstream: Upstream) -> asyncio.Task[bool | None]:
+        """Check whether an upstream accepts connections; losses at the same time share a check."""
         task = self.checks.get(upstream.incarnation)
         if task is None:
             task = self.tasks.start(self.client.accepts_connections(upstream))
             self.checks[upstream.incarnation] = task
             task.add_done_callback(lambda _: self.checks.pop(upstream.incarnation, None))
-        return await task
+        return task
 
     async def record(self, losses: list[Loss], evidence: str) -> None:
         """Record the ends of upstreams here at once, and report them to control."""
--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Callable
-from typing import Any
-
-from attrs import define, field
 
 from apricotvale import clock, events, metrics
-from apricotvale.crashes.known import KnownSuspect
-from apricotvale.daemons.crash_guard import CrashGuard, Supervision, TrialState
+from apricotvale.daemons.crash_guard import CrashGuard
 from apricotvale.daemons.permits import PermitSource
+from apricotvale.daemons.submission import Submission
 from apricotvale.discovery import RegistryView, Upstream
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run
 from apricotvale.requests.calls import Answer, Call, RunStream, UpstreamClient
@@ -33,19 +29,6 @@
 UPSTREAM_FAILURES = (Reason.UPSTREAM_UNREACHABLE, Reason.UPSTREAM_LOST, Reason.UPSTREAM_GARBLED)
 
 
-@define(eq=False)
-class Copy:
-    """A copy of a request that was sent to an upstream.
-
-    :param is_over: whether its result is known; its task may still look for the cause of a loss.
-    """
-
-    upstream: Upstream
-    sent_at: float
-    task: asyncio.Task[Answer | Refusal] = field(init=False)
-    is_over: bool = False
-
-
 class Forwarder:
     """Forwards requests according to their routes.
 
@@ -92,124 +75,19 @@
         :param request: the state to use, for a caller that reads it afterwards.
         """
         request = request or ForwardedRequest(route, call.deadline)
-        copies: list[Copy] = []
-        try:
-            with self.guard.supervise(call) as supervision:
-                while True:
-                    now = clock.now()
-                    suspicion = supervision.suspicion(now)
-                    if suspicion is not None and suspicion.is_condemned:
-                        return self.stop(request, call, suspicion, now)
-                    if suspicion is not None:
-                        self.prepare_trial(request, call, supervision, copies, now)
-                    if (
-                        request.may_send(now)
-                        and request.in_flight
-                        and self.is_full(route, call, now)
-                    ):
-                        request.hedge_at = now + FULL_S
-                    if request.may_send(now) and supervision.may_send(request.in_flight, now):
-                        upstream = self.choose_supervised(request, call, supervision, now)
-                        if upstream is not None:
-                            request.begin(upstream.incarnation, now)
-                            copies.append(self.start_copy(upstream, call, supervision, now))
-                            continue
-                        supervision.give_back()
-                        request.hedge_at = float("inf")
-                    elif suspicion is not None:
-                        # A request under suspicion has no second copies.
-                        request.hedge_at = float("inf")
-                    if now >= call.deadline or not (copies or supervision.is_waiting):
-                        if supervision.trial is TrialState.REFUSED:
-                            request.refuse(Reason.NO_QUORUM, "upstreams ended under this request")
-                        return self.final_result(request, call, now)
-                    wait_s = min(call.deadline, request.hedge_at if copies else call.deadline) - now
-                    waits: list[asyncio.Future[Any]] = [copy.task for copy in copies]
-                    await asyncio.wait(
-                        [supervision.changed, *waits],
-                        timeout=max(0.0, wait_s),
-                        return_when=asyncio.FIRST_COMPLETED,
-                    )
-                    supervision.rearm()
-                    for copy in [copy for copy in copies if copy.task.done()]:
-                        copies.remove(copy)
-                        result = copy.task.result()
-                        supervision.finish_copy(isinstance(result, Answer))
-                        answer = request.finish(result, copy.sent_at)
-                        if answer is not None:
-                            return answer
-        finally:
-            for copy in copies:
-                copy.task.cancel()
-
-    def start_copy(
-        self, upstream: Upstream, call: Call, supervision: Supervision, now: float
-    ) -> Copy:
-        """Send a copy of a request to an upstream."""
-        copy = Copy(upstream, now)
-        copy.task = asyncio.create_task(self.run_copy(copy, call, supervision))
-        return copy
-
-    async def run_copy(self, copy: Copy, call: Call, supervision: Supervision) -> Answer | Refusal:
-        """Send a copy and return its result; see to it that the end of its upstream is known."""
-        result = await self.send(copy.upstream, call)
-        copy.is_over = True
-        if isinstance(result, Refusal) and result.reason is Reason.UPSTREAM_LOST:
-            await self.guard.on_loss(copy.upstream, supervision, copy.sent_at)
-        return result
-
-    def prepare_trial(
-        self,
-        request: ForwardedRequest,
-        call: Call,
-        supervision: Supervision,
-        copies: list[Copy],
-        now: float,
-    ) -> None:
-        """Bring a submission of a request under suspicion to at most one copy, with a trial.
-
-        A copy that was in flight before the suspicion goes on as the trial if no other submission
-        has it. Otherwise it is withdrawn and sent again later, unless it may run only once: its
-        caller could not be told whether it has run.
-        """
-        in_flight = [copy for copy in copies if not copy.is_over]
-        if request.repeatable:
-            is_denied = supervision.trial is TrialState.DENIED
-            for copy in in_flight[0 if is_denied else 1 :]:
-                self.withdraw(request, call, copies, copy)
-            in_flight = [] if is_denied else in_flight[:1]
-        elif in_flight and supervision.trial is TrialState.DENIED:
-            supervision.trial = TrialState.EXEMPT
-        if not supervision.needs_trial(now):
-            return
-        if in_flight:
-            supervision.ask([in_flight[0].upstream.incarnation], has_copy=True)
-        elif not copies and request.may_send(now):
-            candidates = self.trial_candidates(request, call, now)
-            if candidates:
-                supervision.ask(candidates, has_copy=False)
-
-    def withdraw(
-        self, request: ForwardedRequest, call: Call, copies: list[Copy], copy: Copy
-    ) -> None:
-        """Cancel a copy in flight, which closes its connection."""
-        copy.task.cancel()
-        copies.remove(copy)
-        request.withdraw(copy.upstream.incarnation, copy.sent_at)
-        events.emit(
-            events.COPY_WITHDRAWN,
-            request=call.request_id,
-            identity=call.identity,
-            upstream=copy.upstream.incarnation,
-        )
+        with self.guard.supervise(call) as supervision:
+            async with Submission(self, call, request, supervision) as submission:
+                return await submission.run()
 
     def trial_candidates(self, request: ForwardedRequest, call: Call, now: float) -> list[str]:
         """Return the incarnations at which a request may be tried, the preferred one first."""
         choice = self.find_choice(request, call, now)
         if choice is None:
             return []
-        ready = self.view.ready(choice.member.service)
-        others = self.with_room(self.within_limits(ready, False, now), choice.member.service, call)
+        service = choice.member.service
+        others = self.with_room(
+            self.within_limits(self.view.ready(service), False, now), service, call
+        )
         more = [
             upstream.incarnation
             for upstream in others
@@ -217,43 +95,16 @@
         ]
         return list(dict.fromkeys([choice.member.incarnation, *more]))[:MAX_TRIAL_CANDIDATES]
 
-    def choose_supervised(
-        self, request: ForwardedRequest, call: Call, supervision: Supervision, now: float
+    def choose_for_trial(
+        self, request: ForwardedRequest, call: Call, incarnation: str
     ) -> Upstream | None:
-        """Choose the upstream for the next attempt, that of the trial if there is one."""
-        if not supervision.upstream:
-            return self.choose(request, call, now)
+        """Return and log the upstream of a trial, None if it accepts no work any more."""
         for upstream in self.ready_of(request.route):
-            if upstream.incarnation == supervision.upstream:
+            if upstream.incarnation == incarnation:
                 self.log_choice(request, call, upstream, "trial", 1)
                 return upstream
         return None
 
-    def stop(
-        self, request: ForwardedRequest, call: Call, suspicion: KnownSuspect, now: float
-    ) -> Refusal:
-        """Refuse a request that ends the upstreams that run it."""
-        metrics.REQUESTS_STOPPED.inc()
-        result = request.stopped_result(suspicion.ends_at - now)
-        events.emit(
-            events.REQUEST_STOPPED,
-            request=call.request_id,
-            identity=call.identity,
-            route=request.route.name,
-            ran=result.ran,
-            crashes=[
-                {
-                    "upstream": crash.upstream,
-                    "process": crash.process,
-                    "request": crash.request_id,
-                    "at": crash.at_ms / 1000,
-                }
-                for crash in suspicion.crashes
-            ],
-            left_s=round(suspicion.ends_at - now),
-        )
-        return result
-
     def choose(self, request: ForwardedRequest, call: Call, now: float) -> Upstream | None:
         """Choose and log the upstream for the next attempt; return None if none is left."""
         choice = self.find_choice(request, call, now)
--- /dev/null
+++ b/src/apricotvale/daemons/submission.py
@@ -0,0 +1,201 @@
+"""Sends the copies of one submission of a request until it has a final answer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field
+
+from apricotvale import clock, events, metrics
+from apricotvale.crashes.known import KnownSuspect
+from apricotvale.daemons.supervision import Supervision, TrialState
+from apricotvale.discovery import Upstream
+from apricotvale.outcomes import Reason, Refusal
+from apricotvale.requests.calls import Answer, Call
+from apricotvale.requests.forwarding import ForwardedRequest
+
+if TYPE_CHECKING:
+    from apricotvale.daemons.forwarder import Forwarder
+
+# A second copy that was not sent, as all slots were taken, is considered again after this time.
+FULL_PAUSE_S = 0.2
+
+
+@define(eq=False)
+class Copy:
+    """A copy of a request that was sent to an upstream.
+
+    :param is_over: whether its result is known; its task may still look for the cause of a loss.
+    """
+
+    upstream: Upstream
+    sent_at: float
+    task: asyncio.Task[Answer | Refusal] = field(init=False)
+    is_over: bool = False
+
+
+@define(eq=False)
+class Submission:
+    """A submission that is being forwarded; a context manager that cancels its copies.
+
+    :param forwarder: chooses upstreams and sends to them.
+    :param request: retry state.
+    :param supervision: what is known against the request, and its trial.
+    :param copies: copies in flight.
+    """
+
+    forwarder: Forwarder
+    call: Call
+    request: ForwardedRequest
+    supervision: Supervision
+    copies: list[Copy] = field(factory=list)
+
+    async def __aenter__(self) -> Submission:
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for copy in self.copies:
+            copy.task.cancel()
+
+    async def run(self) -> Answer | Refusal:
+        """Return the final answer or refusal."""
+        while True:
+            now = clock.now()
+            suspicion = self.supervision.suspicion(now)
+            if suspicion is not None and suspicion.is_condemned:
+                return self.stop(suspicion, now)
+            if suspicion is not None:
+                self.prepare_trial(now)
+            if self.send_next(suspicion is not None, now):
+                continue
+            if now >= self.call.deadline or not (self.copies or self.supervision.is_waiting):
+                if self.supervision.trial is TrialState.REFUSED:
+                    self.request.refuse(Reason.NO_QUORUM, "upstreams ended under this request")
+                return self.forwarder.final_result(self.request, self.call, now)
+            await self.wait_for_change(now)
+            answer = self.take_results()
+            if answer is not None:
+                return answer
+
+    def send_next(self, is_suspected: bool, now: float) -> bool:
+        """Send the next copy if there may be one; return whether it was sent."""
+        request, supervision = self.request, self.supervision
+        if (
+            request.may_send(now)
+            and request.in_flight
+            and self.forwarder.is_full(request.route, self.call, now)
+        ):
+            request.hedge_at = now + FULL_PAUSE_S
+        if not request.may_send(now):
+            return False
+        if not supervision.may_send(request.in_flight, now):
+            # A request under suspicion has no second copies.
+            request.hedge_at = float("inf")
+            return False
+        if supervision.upstream:
+            upstream = self.forwarder.choose_for_trial(request, self.call, supervision.upstream)
+        else:
+            upstream = self.forwarder.choose(request, self.call, now)
+        if upstream is None:
+            supervision.give_back()
+            request.hedge_at = float("inf")
+            return False
+        request.begin(upstream.incarnation, now)
+        copy = Copy(upstream, now)
+        copy.task = asyncio.create_task(self.run_copy(copy))
+        self.copies.append(copy)
+        return True
+
+    async def run_copy(self, copy: Copy) -> Answer | Refusal:
+        """Send a copy and return its result; see to it that the end of its upstream is known."""
+        result = await self.forwarder.send(copy.upstream, self.call)
+        copy.is_over = True
+        if isinstance(result, Refusal) and result.reason is Reason.UPSTREAM_LOST:
+            await self.forwarder.guard.on_loss(copy.upstream, self.supervision, copy.sent_at)
+        return result
+
+    async def wait_for_change(self, now: float) -> None:
+        """Wait for a result, for news about the request, or until a second copy may be sent."""
+        hedge_at = self.request.hedge_at if self.copies else float("inf")
+        waits: list[asyncio.Future[Any]] = [copy.task for copy in self.copies]
+        await asyncio.wait(
+            [self.supervision.changed, *waits],
+            timeout=max(0.0, min(self.call.deadline, hedge_at) - now),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        self.supervision.rearm()
+
+    def take_results(self) -> Answer | None:
+        """Record the results of the copies that are done; return the final answer if any."""
+        for copy in [copy for copy in self.copies if copy.task.done()]:
+            self.copies.remove(copy)
+            result = copy.task.result()
+            self.supervision.finish_copy(isinstance(result, Answer))
+            answer = self.request.finish(result, copy.sent_at)
+            if answer is not None:
+                return answer
+        return None
+
+    # Requests under suspicion
+
+    def prepare_trial(self, now: float) -> None:
+        """Bring a submission of a request under suspicion to at most one copy, with a trial.
+
+        A copy that was in flight before the suspicion goes on as the trial if no other submission
+        has it. Otherwise it is withdrawn and sent again later, unless it may run only once: its
+        caller could not be told whether it has run.
+        """
+        supervision = self.supervision
+        in_flight = [copy for copy in self.copies if not copy.is_over]
+        is_denied = supervision.trial is TrialState.DENIED
+        if self.request.repeatable:
+            kept = 0 if is_denied else 1
+            for copy in in_flight[kept:]:
+                self.withdraw(copy)
+            in_flight = in_flight[:kept]
+        elif in_flight and is_denied:
+            supervision.trial = TrialState.EXEMPT
+        if not supervision.needs_trial(now):
+            return
+        if in_flight:
+            supervision.ask([in_flight[0].upstream.incarnation], has_copy=True)
+        elif not self.copies and self.request.may_send(now):
+            candidates = self.forwarder.trial_candidates(self.request, self.call, now)
+            if candidates:
+                supervision.ask(candidates, has_copy=False)
+
+    def withdraw(self, copy: Copy) -> None:
+        """Cancel a copy in flight, which closes its connection."""
+        copy.task.cancel()
+        self.copies.remove(copy)
+        self.request.withdraw(copy.upstream.incarnation, copy.sent_at)
+        events.emit(
+            events.COPY_WITHDRAWN,
+            request=self.call.request_id,
+            identity=self.call.identity,
+            upstream=copy.upstream.incarnation,
+        )
+
+    def stop(self, suspicion: KnownSuspect, now: float) -> Refusal:
+        """Refuse a request that ends the upstreams that run it."""
+        metrics.REQUESTS_STOPPED.inc()
+        result = self.request.stopped_result(suspicion.ends_at - now)
+        events.emit(
+            events.REQUEST_STOPPED,
+            request=self.call.request_id,
+            identity=self.call.identity,
+            route=self.request.route.name,
+            ran=result.ran,
+            crashes=[
+                {
+                    "upstream": crash.upstream,
+                    "process": crash.process,
+                    "request": crash.request_id,
+                    "at": crash.at_ms / 1000,
+                }
+                for crash in suspicion.crashes
+            ],
+            left_s=round(suspicion.ends_at - now),
+        )
+        return result
