--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -30,9 +30,11 @@
 
 
 def run_cli(*arguments, check=True):
-    return subprocess.run(
-        [*COMMAND, *arguments], check=check, text=True, capture_output=True, timeout=40
-    )
+    done = subprocess.run([*COMMAND, *arguments], text=True, capture_output=True, timeout=40)
+    if check and done.returncode:
+        shown = f"{' '.join(map(str, arguments))}: exit status {done.returncode}\n{done.stderr}"
+        raise AssertionError(shown)
+    return done
 
 
 class Site(System):
