Treat a connection that is lost while a call begins as a network error

Its log: task-failed, AttributeError: 'Connection' object has no attribute '_transport', in the task that maintains membership, then stopping.

Cause: grpclib deletes the transport of a connection that is lost, and a call that begins or reads at that moment uses it unchecked. Callers of RpcClient.call expect network errors; the probe of peers let the AttributeError through, and a replica ends when a task that it needs has failed. This is the class of one unexpected error that takes a process down.

RpcClient.call raises ConnectionResetError for this attribute only; other errors of the program still show. The test failed before with the same message.

--- a/src/apricotvale/daemons/rpc.py
+++ b/src/apricotvale/daemons/rpc.py
@@ -183,8 +183,16 @@
         """Send a request and return its reply.
 
         :raises TimeoutError: if there is no reply within `timeout_s`.
+        :raises OSError: if the connection cannot be made or is lost.
         """
-        return await run_in_own_task(self.call_method(request, timeout=timeout_s))
+        try:
+            return await run_in_own_task(self.call_method(request, timeout=timeout_s))
+        except AttributeError as error:
+            # grpclib deletes the transport of a connection that is lost, and uses it unchecked in
+            # calls that begin or read at that moment.
+            if error.name != "_transport":
+                raise
+            raise ConnectionResetError(f"the connection to {self.address} was lost") from error
 
     def close(self) -> None:
         """Abort the connection; unsent data is discarded."""
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -15,6 +15,7 @@
 
 import pytest
 from attrs import frozen
+from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from prometheus_client import REGISTRY
 
@@ -394,3 +395,35 @@
     server.close()
     await server.wait_closed()
     assert sum(outcomes.values()) == BROKEN_CASES and len(outcomes) > 2, outcomes
+
+
+async def test_a_connection_lost_while_a_call_begins_ends_the_call_only(echo_address, monkeypatch):
+    """Guards against a control replica that ends because a peer was lost at that moment."""
+    connect = Channel.__connect__
+
+    async def connect_and_lose(channel):
+        protocol = await connect(channel)
+        protocol.processor.close("Connection lost")
+        return protocol
+
+    monkeypatch.setattr(Channel, "__connect__", connect_and_lose)
+    client = RpcClient(echo_address, ECHO)
+    with pytest.raises(ConnectionResetError):
+        await client.call(EchoRequest(1, b""), 1.0)
+    monkeypatch.undo()
+    client.close()
+
+
+async def test_other_errors_of_a_call_are_not_taken_for_a_lost_connection(
+    echo_address, monkeypatch
+):
+    """Guards against errors of the program itself that pass for network errors."""
+    client = RpcClient(echo_address, ECHO)
+    monkeypatch.setattr(client, "call_method", lambda *args, **options: fail_with_missing_name())
+    with pytest.raises(AttributeError):
+        await client.call(EchoRequest(1, b""), 1.0)
+    client.close()
+
+
+async def fail_with_missing_name():
+    return PAYLOAD.missing
