--- a/src/apricotvale/daemons/crash_control.py
+++ b/src/apricotvale/daemons/crash_control.py
@@ -166,7 +166,7 @@
                     events.TRIAL_BEGUN,
                     request=request.request_id,
                     identity=request.identity,
-                    process_asking=request.process,
+                    asked_by=request.process,
                     upstream=upstream,
                     crashes=len(suspect.crashes),
                     running=len(self.trials.running),
