Keep the port of a crashed stand-in from the stand-ins of other test workers

A crashed stand-in keeps its port bound without listening, which refuses connections as before. Checked: connections are refused, a second bind fails, and it is back after its time.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -96,6 +96,7 @@
     on_start: Callable[[], Awaitable[None]] | None = None
     address: str = ""
     is_down: bool = False
+    port_holder: socket.socket | None = None
     restarts: set = field(factory=set)
 
     async def __aenter__(self):
@@ -107,6 +108,8 @@
     async def __aexit__(self, *exc_info):
         for task in self.restarts:
             task.cancel()
+        if self.port_holder is not None:
+            self.port_holder.close()
         self.server.close()
         for writer in list(self.writers):
             writer.close()
@@ -115,12 +118,19 @@
         """End at once with all connections, and start again after a while."""
         self.is_down = True
         self.server.close()
+        # A bound socket that does not listen refuses connections, and keeps the port from the
+        # stand-ins of other workers, which would get the requests to this one.
+        host, _, port = self.address.rpartition(":")
+        self.port_holder = socket.socket()
+        self.port_holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.port_holder.bind((host, int(port)))
         for writer in list(self.writers):
             reset_connection(writer)
         self.restarts.add(asyncio.create_task(self.restart()))
 
     async def restart(self):
         await asyncio.sleep(self.restart_s)
+        self.port_holder.close()
         host, _, port = self.address.rpartition(":")
         self.server = await asyncio.start_server(self.serve, host, int(port))
         self.born += 1
