--- /dev/null
+++ b/tests/soak_disk.py
@@ -0,0 +1,120 @@
+"""Start a role of the deployment with a disk whose syncs are recorded and can be delayed.
+
+`python tests/soak_disk.py ROLE` runs `deploy/start.py`. The folder `SOAK_RECORD` gets the file
+`record`, from which `tests.soak_power` computes what a loss of power takes back, and the former
+content of files that were replaced, removed or truncated. A sync takes as many seconds as the file
+`delay` in it says at that time. Without the variable the disk is left as it is.
+"""
+
+from __future__ import annotations
+
+import builtins
+import itertools
+import json
+import os
+import runpy
+import shutil
+import stat
+import sys
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+POLL_S = 0.01
+
+
+class RecordedFiles:
+    """The functions of `os` that a data folder calls, with a record of what is durable."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.record_fd = os.open(folder / "record", os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+        self.numbers = itertools.count(time.monotonic_ns())
+
+    def __getattr__(self, name):
+        return getattr(os, name)
+
+    def record(self, *fields):
+        os.write(self.record_fd, json.dumps(fields).encode() + b"\n")
+
+    def save(self, path, copy=False):
+        """Keep a file's content; return the name that it is kept under, empty if it is missing."""
+        if not path.exists():
+            return ""
+        kept = f"{next(self.numbers)}-{path.name}"
+        (shutil.copyfile if copy else os.link)(path, self.folder / kept)
+        return kept
+
+    def wait(self):
+        began_at = time.monotonic()
+        while True:
+            try:
+                delay_s = float((self.folder / "delay").read_text())
+            except (OSError, ValueError):
+                delay_s = 0.0
+            left_s = began_at + delay_s - time.monotonic()
+            if left_s <= 0:
+                return
+            time.sleep(min(POLL_S, left_s))
+
+    def open(self, path, flags, mode=0o777):
+        if flags & os.O_CREAT and not Path(path).exists():
+            self.record("create", Path(path).name)
+        return os.open(path, flags, mode)
+
+    def open_file(self, path, mode):
+        if "w" in mode:
+            self.record("create", Path(path).name)
+        return builtins.open(path, mode)
+
+    def fsync(self, fd):
+        """Make a file or folder durable; the simulated loss of power needs no real sync."""
+        state = os.fstat(fd)
+        self.wait()
+        if stat.S_ISDIR(state.st_mode):
+            self.record("folder")
+        else:
+            self.record("sync", Path(os.readlink(f"/proc/self/fd/{fd}")).name, state.st_size)
+
+    fdatasync = fsync
+
+    def replace(self, source, target):
+        source, target = Path(source), Path(target)
+        self.record("rename", source.name, target.name, self.save(target))
+        os.replace(source, target)
+
+
+def record_disk(folder):
+    """Replace the class of data folders by one whose files are recorded."""
+    from apricotvale.consensus import disk
+
+    folder.mkdir(parents=True, exist_ok=True)
+    files = RecordedFiles(folder)
+    disk.os = files
+    disk.open = files.open_file
+
+    class RecordedDisk(disk.FolderDisk):
+        def remove(self, name):
+            kept = files.save(self.folder / name)
+            if kept:
+                files.record("remove", name, kept)
+            super().remove(name)
+
+        def truncate(self, name, size):
+            files.record("cut", name, files.save(self.folder / name, copy=True))
+            super().truncate(name, size)
+
+    disk.FolderDisk = RecordedDisk
+
+
+def main():
+    # The folder of this module has modules with the names of others, such as `site`.
+    sys.path[0] = str(ROOT / "src")
+    if os.environ.get("SOAK_RECORD"):
+        record_disk(Path(os.environ["SOAK_RECORD"]))
+    sys.argv[0] = str(ROOT / "deploy" / "start.py")
+    runpy.run_path(sys.argv[0], run_name="__main__")
+
+
+if __name__ == "__main__":
+    main()
