--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -21,7 +21,8 @@
 from attrs import define
 
 from tests.soak_callers import Callers, stop
-from tests.soak_vms import GRACE_S, START_S, Site
+from tests.soak_links import Links
+from tests.soak_vms import CATCH_UP_S, GRACE_S, START_S, Site
 
 RECOVER_S = 12.0
 LATE_S = 8.0
@@ -40,6 +41,8 @@
     "power all": 1,
 }
 ENTRY_FAULTS = {"kill": 2, "freeze": 2, "term": 3, "hup": 2}
+# Seeds from here on have chains of wipes.
+FIRST_CHAIN = 1000
 FINALS = ["wipe, power", "wipe, kill", "power", "kill", "wipe"]
 
 
@@ -75,9 +78,12 @@
     waits: bool = False
     settles: bool = False
     after_job: bool = False
+    has_links: bool = False
 
     def __str__(self):
-        how = [name for name in ("waits", "settles", "after_job") if getattr(self, name)]
+        how = [
+            name for name in ("waits", "settles", "after_job", "has_links") if getattr(self, name)
+        ]
         faults = "; ".join(map(str, self.faults))
         return f"{faults}; final {self.final_at:.1f} {self.final} {self.victim} {' '.join(how)}"
 
@@ -108,10 +114,22 @@
     waits=True,
     settles=True,
 )
-PLAYS = {"frozen-leader": FROZEN_LEADER, "lost-leader": LOST_LEADER}
+# The disks of two VMs refuse writes for a second, one after the other.
+REFUSING_DISKS = Play(
+    (Fault(2.0, "refuse", "leader", 1.0), Fault(5.0, "refuse", "follower", 1.0)),
+    "power",
+    "c0",
+    9.0,
+)
+PLAYS = {
+    "refusing-disks": REFUSING_DISKS,
+    "frozen-leader": FROZEN_LEADER,
+    "lost-leader": LOST_LEADER,
+}
 
 
 def make_play(seed):
+    """Return the play of a seed: faults at random, from `FIRST_CHAIN` on beside chains of wipes."""
     rng = random.Random(f"play {seed}")
     final_at = rng.uniform(7.0, 14.0)
     faults = []
@@ -121,20 +139,32 @@
         kind = rng.choices(list(kinds), list(kinds.values()))[0]
         vm = rng.choice(["c0", "c1", "c2"] if on_control else ["e0", "e1"])
         long = kind in ("freeze", "slow", "stall")
-        lasts_s = (
-            rng.uniform(1.0, 6.0 if kind == "freeze" else 3.0) if long else rng.uniform(0.3, 1.3)
-        )
+        limit_s = 6.0 if kind == "freeze" else 3.0
+        lasts_s = rng.uniform(1.0, limit_s) if long else rng.uniform(0.3, 1.3)
         faults.append(Fault(rng.uniform(FIRST_FAULT_S, final_at), kind, vm, lasts_s))
+    final = rng.choices(FINALS, [4, 3, 1, 1, 1])[0]
+    victim = rng.choice(["c0", "c1", "c2", "leader"])
+    options = [rng.random() < share for share in (0.4, 0.5, 0.3)]
+    has_links = False
+    if seed >= FIRST_CHAIN:
+        faults, final_at, has_links = add_chain(faults, final_at, rng)
     faults.sort(key=lambda fault: fault.at)
-    return Play(
-        tuple(faults),
-        rng.choices(FINALS, [4, 3, 1, 1, 1])[0],
-        rng.choice(["c0", "c1", "c2", "leader"]),
-        final_at,
-        rng.random() < 0.4,
-        rng.random() < 0.5,
-        rng.random() < 0.3,
-    )
+    return Play(tuple(faults), final, victim, final_at, *options, has_links)
+
+
+def add_chain(faults, final_at, rng):
+    """Add a series of wipes, each as soon as it is allowed, beside freezes and cuts."""
+    has_links = rng.random() < 0.5
+    faults = rng.sample(faults, min(len(faults), 5))
+    at = rng.uniform(FIRST_FAULT_S, 3.0)
+    for _ in range(rng.randint(2, 3)):
+        lasts_s = rng.uniform(0.3, 0.8)
+        faults.append(Fault(at, "wipe", rng.choice(["c0", "c1", "c2"]), lasts_s))
+        kind = rng.choice(["freeze", "cut"]) if has_links else "freeze"
+        begin = at + rng.uniform(-1.0, 3.0)
+        faults.append(Fault(begin, kind, rng.choice(["c0", "c1", "c2"]), rng.uniform(2.0, 6.0)))
+        at += lasts_s + START_S + CATCH_UP_S + rng.uniform(0.0, 1.0)
+    return faults, max(at, final_at), has_links
 
 
 class Run:
@@ -145,7 +175,8 @@
         self.rng = random.Random(f"run {seed}")
         number = seed if isinstance(seed, int) else 49_999 - list(PLAYS).index(seed)
         sync_s = self.rng.choice([0.0, 0.001, 0.005])
-        self.site = Site(folder, f"127.{20 + number // 250 % 200}.{number % 250}", sync_s)
+        network = f"127.{20 + number // 250 % 200}.{number % 250}"
+        self.site = Site(folder, network, sync_s, Links() if play.has_links else None)
         self.callers = Callers(self.site, random.Random(f"callers {seed}"))
         self.chosen = {}
         self.zero = 0.0
@@ -168,14 +199,17 @@
         await asyncio.sleep(self.zero + fault.at - self.site.now())
         vm = self.find(fault.vm)
         self.site.note(f"{fault.kind} {vm.name} {fault.lasts_s:.2f}")
+        vm.extend_loss(fault.lasts_s)
         planned = vm.role == "entry" and fault.kind in ("term", "hup")
         interval = self.site.disturb(planned)
         match fault.kind:
             case "freeze":
                 await self.freeze(vm, fault.lasts_s)
-            case "slow" | "stall":
-                slow_s = self.rng.uniform(0.02, 0.2) if fault.kind == "slow" else 99.0
-                vm.delay_syncs(slow_s)
+            case "cut":
+                await self.cut(vm, fault.lasts_s)
+            case "slow" | "stall" | "refuse":
+                slow_s = self.rng.uniform(0.02, 0.2)
+                vm.delay_syncs({"slow": slow_s, "stall": 99.0, "refuse": -1.0}[fault.kind])
                 await asyncio.sleep(fault.lasts_s)
                 vm.delay_syncs(self.site.sync_s)
             case "hup":
@@ -196,6 +230,17 @@
             vm.signal(signal.SIGCONT)
             self.site.note(f"{vm.name} thaws")
 
+    async def cut(self, vm, lasts_s):
+        """Cut a VM off from all others, or from one of them."""
+        other = self.rng.choice([vm, *self.site.vms])
+        links = self.site.links.find(vm.name, other.name)
+        self.site.note(f"cut between {vm.name} and {'all' if other is vm else other.name}")
+        for link in links:
+            link.whole.clear()
+        await asyncio.sleep(lasts_s)
+        for link in links:
+            link.whole.set()
+
     async def end(self, vm, kind, lasts_s):
         """End a VM's process in a way, and start it again.
 
@@ -212,6 +257,8 @@
                 vm.signal(signal.SIGTERM)
                 await vm.wait_for_end(GRACE_S)
             vm.kill()
+            if vm.is_lost:
+                vm.lost_until = float("inf")
             await vm.wait_for_end()
             if kind == "power":
                 vm.lose_power(self.rng)
@@ -302,6 +349,8 @@
                 silent_until = site.now() + RECOVER_S
         interval = site.disturb()
         await stop([*faults, *self.callers.changes])
+        for link in site.links.find() if site.links else []:
+            link.whole.set()
         if not acknowledged.done():
             site.fail("SILENT", f"no acknowledgement in {RECOVER_S} s after all are back")
             site.describe_disks("silent")
--- a/tests/soak_disk.py
+++ b/tests/soak_disk.py
@@ -2,13 +2,15 @@
 
 `python tests/soak_disk.py ROLE` runs `deploy/start.py`. The folder `SOAK_RECORD` gets the file
 `record`, from which `tests.soak_power` computes what a loss of power takes back, and the former
-content of files that were replaced, removed or truncated. A sync takes as many seconds as the file
-`delay` in it says at that time. Without the variable the disk is left as it is.
+content of files that were replaced, removed or truncated. The file `delay` in it has the seconds
+that a sync takes; a sync fails if they are negative. Without the variable the disk is left as it
+is. `SOAK_LINKS` has the addresses to connect to in place of others.
 """
 
 from __future__ import annotations
 
 import builtins
+import errno
 import itertools
 import json
 import os
@@ -46,12 +48,18 @@
         return kept
 
     def wait(self):
+        """Wait for a sync.
+
+        :raises OSError: if the disk refuses writes, which a negative delay stands for.
+        """
         began_at = time.monotonic()
         while True:
             try:
                 delay_s = float((self.folder / "delay").read_text())
             except (OSError, ValueError):
                 delay_s = 0.0
+            if delay_s < 0:
+                raise OSError(errno.EIO, "the disk refuses writes")
             left_s = began_at + delay_s - time.monotonic()
             if left_s <= 0:
                 return
@@ -107,11 +115,28 @@
     disk.FolderDisk = RecordedDisk
 
 
+def map_hosts(hosts):
+    """Connect to other addresses than those that are called.
+
+    :param hosts: addresses to connect to, by the addresses called.
+    """
+    from grpclib.client import Channel
+
+    create = Channel.__init__
+
+    def create_mapped(self, host=None, *args, **options):
+        create(self, hosts.get(host, host), *args, **options)
+
+    Channel.__init__ = create_mapped
+
+
 def main():
     # The folder of this module has modules with the names of others, such as `site`.
     sys.path[0] = str(ROOT / "src")
     if os.environ.get("SOAK_RECORD"):
         record_disk(Path(os.environ["SOAK_RECORD"]))
+    if os.environ.get("SOAK_LINKS"):
+        map_hosts(json.loads(os.environ["SOAK_LINKS"]))
     sys.argv[0] = str(ROOT / "deploy" / "start.py")
     runpy.run_path(sys.argv[0], run_name="__main__")
 
--- a/tests/soak_vms.py
+++ b/tests/soak_vms.py
@@ -14,6 +14,7 @@
 from attrs import define, field
 
 from tests.soak_disk import ROOT
+from tests.soak_links import Links
 from tests.soak_power import lose_power, read_held
 
 INTERNAL_PORT = 7720
@@ -25,8 +26,9 @@
 # A start takes this long on a machine that is not busy.
 START_S = 1.0
 GRACE_S = 8.0
-# Numbers of the log events of consensus and disks, which the timeline shows.
-LOGGED = range(500, 600)
+# Numbers of log events of consensus that the timeline leaves out: connections to peers.
+UNLOGGED = (507, 508)
+SHARED_FIELDS = ("at", "level", "process", "event", "name")
 
 
 @define
@@ -101,8 +103,8 @@
             self.recorded.mkdir(exist_ok=True)
             (self.recorded / "delay").write_text(f"{self.site.sync_s}")
             environment["SOAK_RECORD"] = str(self.recorded)
-            if self.site.links:
-                environment["SOAK_LINKS"] = json.dumps(self.site.links.hosts_from(self))
+        if self.site.links:
+            environment["SOAK_LINKS"] = json.dumps(self.site.links.hosts_from(self))
         with open(folder / "log", "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, str(ROOT / "tests" / "soak_disk.py"), self.role],
@@ -131,6 +133,8 @@
             except OSError:
                 await asyncio.sleep(0.02)
         self.wanted = True
+        if self.site.links:
+            await self.site.links.open_to(self)
         self.back_at = max(started_at, self.site.now() - START_S)
         self.site.note(f"{self.name} listens, started at {started_at:.2f}")
         if self.is_lost:
@@ -141,10 +145,14 @@
         """Whether the VM has not had the time to catch up since it lost its disk."""
         return self.lost_until > self.site.now()
 
-    def extend_loss(self):
-        """Begin the time to catch up again if the VM was disturbed within it."""
+    def extend_loss(self, lasts_s=0.0):
+        """Begin the time to catch up again if the VM is disturbed within it.
+
+        :param lasts_s: time for which it is disturbed from now on, in seconds.
+        """
         if self.is_lost:
-            self.lost_until = self.site.now() + CATCH_UP_S
+            until = self.site.now() + lasts_s + CATCH_UP_S
+            self.lost_until = max(self.lost_until, until)
 
     def signal(self, number):
         if self.process.poll() is None:
@@ -153,6 +161,8 @@
     def kill(self):
         self.wanted = False
         self.signal(signal.SIGKILL)
+        if self.site.links:
+            self.site.links.close_to(self)
 
     async def wait_for_end(self, limit_s=2.0):
         deadline = time.monotonic() + limit_s
@@ -196,7 +206,7 @@
     folder: object
     network: str
     sync_s: float = 0.001
-    links: object = None
+    links: Links | None = None
     vms: list[Vm] = field(factory=list)
     began_at: float = field(factory=time.monotonic)
     began_wall: float = field(factory=time.time)
@@ -212,6 +222,9 @@
         for number in range(2):
             self.vms.append(Vm(self, f"e{number}", "entry", f"{self.network}.{number + 11}", True))
 
+        if self.links:
+            self.links.add_all(self, INTERNAL_PORT)
+
     @property
     def controls(self):
         return [vm for vm in self.vms if vm.role == "control"]
@@ -271,16 +284,22 @@
         for vm in self.vms:
             if vm.process is not None:
                 vm.process.wait(5)
+        if self.links:
+            self.links.close()
 
     def write_timeline(self):
         """Write the notes, with the main events of the control logs among them."""
         lines = list(self.notes)
         for vm in self.controls:
-            lines += [
-                (at, f"    {vm.name} {json.dumps(line)}")
-                for at, line in read_log(self, vm)
-                if line["event"] in LOGGED
-            ]
+            former = ""
+            for at, line in read_log(self, vm):
+                if line["event"] // 100 == 5 and line["event"] not in UNLOGGED:
+                    fields = {k: v for k, v in line.items() if k not in SHARED_FIELDS}
+                    text = f"    {vm.name} {line['name']} {json.dumps(fields)}"
+                    # A replica that finds no leader asks to join several times a second.
+                    if text != former:
+                        lines.append((at, text))
+                    former = text
         lines.sort(key=lambda pair: pair[0])
         text = "".join(f"{at:8.3f} {line}\n" for at, line in lines)
         (self.folder / "timeline").write_text(text)
