--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -251,12 +251,12 @@
 
         A process that another fault has just ended, or is about to, is only killed.
         """
+        if kind == "wipe" and not await self.may_wipe(vm):
+            kind = "kill"
         if vm.lock.locked():
             vm.kill()
             return
         async with vm.lock:
-            if kind == "wipe" and not await self.may_wipe(vm):
-                kind = "kill"
             if kind == "term":
                 vm.wanted = False
                 vm.signal(signal.SIGTERM)
@@ -273,11 +273,17 @@
             await vm.start_up()
 
     async def may_wipe(self, vm):
-        """Return whether no other VM lacks its disk, after a wait for it if the play says so."""
+        """Return whether no other VM lacks its disk, after a wait for it if the play says so.
+
+        From then on the VM counts as lost.
+        """
         others = [other for other in self.site.controls if other is not vm]
         while self.play.waits and any(other.is_lost for other in others):
             await asyncio.sleep(0.05)
-        return not any(other.is_lost for other in others)
+        if any(other.is_lost for other in others):
+            return False
+        vm.lost_until = float("inf")
+        return True
 
     def has_copy(self, vm):
         """Return whether another disk holds everything that was accepted."""
