Log which voters answer while a control replica hears no leader

A group that stops for good logs only 'joining' five times a second, which is also what a replica with a new folder logs.

No decision changes.

--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -146,6 +146,7 @@
         self.stopped = False
         self.logged_group = Group()
         self.logged_role: tuple[Role, int, str] = (Role.FOLLOWER, 0, "")
+        self.logged_standing: dict[str, str] = {}
         self.node = self.make_node(storage.stored)
         self.check_group()
 
@@ -551,11 +552,45 @@
                 events.ROLE_CHANGED, role=node.role, term=node.term, leader=node.leader_name
             )
 
+        if node.leader_id:
+            self.logged_standing = {}
         if node.group != self.logged_group:
             self.logged_group = node.group
             members = {member.name: member.voter for member in node.group.members}
             events.emit(events.GROUP_CHANGED, voters=members)
 
+    def log_missing_leader(self, replies: list[ProbeReply]) -> None:
+        """Log what is known of each voter while no leader is heard, whenever that changes."""
+        node = self.node
+        standing = {
+            member.data_id[:8]: f"{member.name} {self.voter_standing(member, replies)}"
+            for member in node.group.members
+            if member.voter
+        }
+        if standing != self.logged_standing:
+            self.logged_standing = standing
+            log = node.log
+            events.emit(
+                events.NO_LEADER,
+                term=node.term,
+                last_index=log.last_index,
+                last_term=log.last_term,
+                quorum=node.group.quorum(),
+                voters=standing,
+            )
+
+    def voter_standing(self, member: GroupMember, replies: list[ProbeReply]) -> str:
+        """Return whether a voter answers, has lost its data folder or gives no answer."""
+        if member.data_id == self.node.data_id:
+            return "answers"
+        address = self.address_of(member)
+        for reply in replies:
+            if reply.data_id == member.data_id:
+                return "answers"
+            if reply.address == address:
+                return "lost its data folder, " + ("empty" if reply.empty else "joined")
+        return "does not answer"
+
     # Forming and joining a group
 
     def is_empty(self) -> bool:
@@ -573,7 +608,9 @@
             if self.is_empty():
                 await self.form_or_join()
             elif self.peers.policy.open and self.has_no_leader():
-                await self.ask_to_join(await self.probe_peers())
+                replies = await self.probe_peers()
+                self.log_missing_leader(replies)
+                await self.ask_to_join(replies)
             elif not self.peers.policy.open:
                 return
             await asyncio.sleep(self.probe_interval_s())
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -266,6 +266,12 @@
     "ERROR",
     "The group has fewer voters than the losses that it has to bear need, and no replica joins.",
 )
+NO_LEADER = event(
+    514,
+    "no-leader",
+    "WARNING",
+    "A control replica hears no leader; which voters answer, and which data folders are gone.",
+)
 PART_UNAVAILABLE = event(
     509, "part-unavailable", "WARNING", "A part of a snapshot could not be read or fetched."
 )
