--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -313,13 +313,10 @@
         """Deliver the messages that are due and run their receivers."""
         due = [item for item in self.bus if item[0] <= self.now]
         self.bus = [item for item in self.bus if item[0] > self.now]
-        for _, _, source, message in sorted(due, key=lambda item: item[:2]):
-            for host in self.hosts.values():
-                if host.node is None or host.node.data_id != message.target:
-                    continue
-                if self.is_partitioned(source, host.name):
-                    continue
-                host.inbox.append(message)
+        for _, _, source, addresses, message in sorted(due, key=lambda item: item[:2]):
+            for host in map(self.hosts.get, addresses):
+                if host.node is not None and not self.is_partitioned(source, host.name):
+                    host.inbox.append(message)
         for host in self.hosts.values():
             if host.inbox and host.node and self.now >= host.paused_until:
                 self.run_host(host)
@@ -418,7 +415,19 @@
 
     def post(self, source, message, delay):
         self.sequence += 1
-        self.bus.append((self.now + delay, self.sequence, source, message))
+        addresses = self.addresses_for(self.hosts[source], message)
+        self.bus.append((self.now + delay, self.sequence, source, addresses, message))
+
+    def addresses_for(self, host, message):
+        """Return the names of the hosts to which the daemon sends a message.
+
+        A member's address stays the same when its machine is replaced, so that a message for a
+        lost data folder reaches the replica that has its name now.
+        """
+        member = host.node.group.find(message.target)
+        if member is not None:
+            return [member.address]
+        return [name for name in self.hosts if name != host.name]
 
     def compact(self, host):
         """Save a snapshot as the daemon does, after a write in progress."""
