--- a/tests/lost_disks.py
+++ b/tests/lost_disks.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from apricotvale.consensus.messages import Group, HardState, Snapshot
 from apricotvale.consensus.types import GroupPolicy
 from apricotvale.control import commands as c
 from tests.replicas import Replicas
@@ -67,20 +68,35 @@
     return find()
 
 
-def make_group(size, is_open, seed=0, max_write_s=0.0):
-    """Return a group of voters with a leader; an open one also accepts spare learners."""
-    policy = GroupPolicy(True, size, size // 2, REPLACE_AFTER_S) if is_open else None
-    names = "abcdefg"[:size]
+def make_group(size, is_open, seed=0, max_write_s=0.0, spares=0):
+    """Return a group of voters with a leader.
+
+    :param spares: number of initially empty replicas that join an open group as learners.
+    """
+    learners = max(spares, size // 2)
+    policy = GroupPolicy(True, size, learners, REPLACE_AFTER_S) if is_open else None
+    names = "abcdefghij"[: size + spares]
     group = Replicas(names, seed=seed, policy=policy, max_write_s=max_write_s)
-    assert group.run_until(lambda: group.leader() is not None and group.has_converged())
+    members = group.hosts["a"].storage.stored.snapshot.group.members
+    initial = Snapshot(1, 1, 0, Group(members[:size]), b"")
+    for name in names[:size]:
+        group.hosts[name].storage.save_snapshot(initial, HardState(1), [])
+        group.boot(group.hosts[name])
+    for name in names[size:]:
+        group.wipe(group.hosts[name])
+    assert group.run_until(lambda: is_whole(group))
     return group
 
 
 def is_whole(group):
-    """Return whether every host has a vote and the whole log, and no lost folder is a member."""
+    """Return whether every host is a member with the whole log, and the others have left.
+
+    As many hosts have a vote as the policy of an open group says; in a closed group all have.
+    """
     leader = group.leader()
     if leader is None or not group.has_converged():
         return False
     ids = {host.node.data_id for host in group.hosts.values()}
     members = leader.node.group.members
-    return {m.data_id for m in members} == ids and all(member.voter for member in members)
+    voters = group.policy.voters if group.policy else len(ids)
+    return {m.data_id for m in members} == ids and len(leader.node.group.voters()) == voters
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -187,6 +187,7 @@
         self.bus = []
         self.sequence = 0
         self.partitioned_until = {}
+        self.half, self.split_until = frozenset(), 0.0
         self.held = []
         self.calls = []
         self.matched = {}
@@ -321,7 +322,13 @@
             if host.inbox and host.node and self.now >= host.paused_until:
                 self.run_host(host)
 
+    def split(self, half, seconds):
+        """Cut the network between the named hosts and the others; clients reach both halves."""
+        self.half, self.split_until = frozenset(half), self.now + seconds
+
     def is_partitioned(self, one, other):
+        if self.now < self.split_until and (one in self.half) != (other in self.half):
+            return True
         return any(self.now < self.partitioned_until.get(name, 0.0) for name in (one, other))
 
     # Work of the daemon
