Elect a leader when every other member answers or has lost its data folder

Cause: a voter whose folder is lost keeps its vote until a leader has replaced it by its successor, and the election of that leader needs the lost votes. A replica that is back empty can't join while the leader is frozen, down or being elected, however long ago it came back; a second lost disk in that time leaves fewer voters than a quorum. The class is a repair that needs what is broken. The size of the group doesn't matter: 3, 5 and 7 voters fail alike.

Ruled out: late instead of gone (no election is even begun), a folder refused at start (all replicas run).

Change: a vote request names its target. The replica that runs under this name with another data folder answers that the target's folder is lost and votes in its place: an empty one for any candidate, a learner like any voter. When the lost folders leave no majority, a candidate wins if every member of its group, learners too, has granted its vote or is answered for. The election takes the next term that is a multiple of a million, and its first entry replaces the lost members by their successors, as voters.

Why it works: each folder that exists has answered, so none is more up to date than the candidate's; what a majority had accepted is on one of them unless it was on lost disks only. No command is confirmed before a majority of the new group has it, so one disk never decides alone. Late messages of lost voters bear lower terms. Ruled out: counting the remaining voters only (confirms on a single disk), a learner that copies logs without a leader (still no leader), an operator's command.

--- a/src/apricotvale/consensus/membership.py
+++ b/src/apricotvale/consensus/membership.py
@@ -92,6 +92,20 @@
     return without_member(group, removed) if removed is not None else None
 
 
+def recovered_group(group: Group, leader_id: str, successors: dict[str, str]) -> Group:
+    """Return the group in which successors take the places of members with a lost data folder.
+
+    :param leader_id: data id of the new leader, which is a voter of the group.
+    :param successors: data ids of the successors by the lost data ids.
+    """
+    voters = {leader_id, *(successors.get(data_id, data_id) for data_id in group.voters())}
+    members = {}
+    for member in group.members:
+        data_id = successors.get(member.data_id, member.data_id)
+        members[data_id] = evolve(member, data_id=data_id, voter=data_id in voters)
+    return Group(tuple(members.values()))
+
+
 def target_voter_count(view: LeaderView) -> int:
     """Return the target number of voters; in a closed group this is one for each name."""
     if view.policy.open:
--- a/src/apricotvale/consensus/messages.py
+++ b/src/apricotvale/consensus/messages.py
@@ -68,6 +68,12 @@
         """Return the member with this data id, or None."""
         return next((member for member in self.members if member.data_id == data_id), None)
 
+    def predecessors(self, data_id: str) -> list[str]:
+        """Return the data ids of the earlier members with the name of a member."""
+        own = self.find(data_id)
+        earlier = self.members[: self.members.index(own)] if own else ()
+        return [m.data_id for m in earlier if own is not None and m.name == own.name]
+
     def quorum(self) -> int:
         """Return the number of voters in a majority."""
         return len(self.voters()) // 2 + 1
@@ -115,6 +121,8 @@
 
     :param pre: pre-vote: asks whether the vote would be granted, without starting an election.
     :param transfer: part of a leadership transfer; an active leader is no reason to refuse.
+    :param target_name: name of the replica asked; one that runs under this name with another data
+        folder answers that the target's is lost.
     """
 
     source: str
@@ -124,17 +132,23 @@
     last_term: int
     pre: bool = False
     transfer: bool = False
+    target_name: str = ""
 
 
 @define
 class VoteReply:
-    """Reply to a vote request."""
+    """Reply to a vote request.
+
+    :param lost: data id of the request's target if that data folder is lost and the source, which
+        has the same name, answers in its place.
+    """
 
     source: str
     target: str
     term: int
     granted: bool
     pre: bool = False
+    lost: str = ""
 
 
 @define
--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -47,6 +47,9 @@
 # Range of the random wait after the leader's process was found to be gone. A few round trips are
 # enough for one candidate to win before the next one starts.
 LEADER_DOWN_JITTER_FACTOR = 0.15
+# A recovery election takes place in the next term that is a multiple of this number. The lost
+# voters may have voted in terms that no remaining replica knows; none of them is as high.
+RECOVERY_TERM_STEP = 1_000_000
 
 
 class Node:
@@ -96,6 +99,8 @@
         self.leader_heard_at = float("-inf")
         self.leader_is_down = False
         self.votes: set[str] = set()
+        # Data ids of the successors that granted their votes, by the lost data id.
+        self.successors: dict[str, str] = {}
         self.pre_voting = False
         self.election_attempts = 0
         self.progress: dict[str, Progress] = {}
@@ -106,6 +111,8 @@
         self.next_read_ticket = 1
         self.broadcast_pending = False
         self.term_start_index = 0
+        # Successors by lost data id if this replica won its last election by a recovery.
+        self.recovered_from: dict[str, str] = {}
         self.ready = Ready()
         self.election_at = now + timing.election_timeout_s * (
             STARTUP_TIMEOUT_MIN_FACTOR + STARTUP_TIMEOUT_JITTER_FACTOR * jitter()
@@ -154,6 +161,7 @@
         self.leader_name = "" if not leader else self.leader_name
         self.pre_voting = False
         self.votes = set()
+        self.successors = {}
         self.progress = {}
         self.ready.failed_reads += self.queued_reads
         self.ready.failed_reads += [ticket for ticket, _, _ in self.unconfirmed_reads]
@@ -210,8 +218,12 @@
 
     # Elections
 
-    def campaign(self, now: float, pre: bool, transfer: bool = False) -> None:
-        """Start a pre-vote or an election and request votes from the other voters.
+    def campaign(
+        self, now: float, pre: bool, transfer: bool = False, recovery: bool = False
+    ) -> None:
+        """Start a pre-vote or an election and request votes from the other members.
+
+        The votes of learners, and a learner's own election, count only in a recovery.
 
         A retry after a split vote comes sooner than the first attempt: the leader is already
         known to be silent, and the pre-vote prevents the disruption of an active one. The wait
@@ -220,29 +232,43 @@
 
         :param pre: run a pre-vote, which leaves the term unchanged.
         :param transfer: the election is part of a leadership transfer.
+        :param recovery: the election is a recovery, see `can_recover`.
         """
         wait = ELECTION_RETRY_MIN_FACTOR + ELECTION_RETRY_JITTER_FACTOR * self.jitter()
         if not pre:
             self.election_attempts += 1
             wait *= min(MAX_ELECTION_BACKOFF_FACTOR, self.election_attempts)
         self.election_at = now + self.timing.election_timeout_s * wait
-        if not self.is_voter:
+        if self.group.find(self.data_id) is None:
             return
         self.leader_id = ""
         self.pre_voting = pre
         self.role = Role.FOLLOWER if pre else Role.CANDIDATE
         term = self.term + 1
+        if recovery:
+            term = (self.term // RECOVERY_TERM_STEP + 1) * RECOVERY_TERM_STEP
         if not pre:
             self.set_hard_state(HardState(term, self.data_id))
         self.votes = {self.data_id}
-        for voter in self.group.voters():
-            if voter != self.data_id:
-                log = self.log
-                self.send(
-                    VoteRequest(
-                        self.data_id, voter, term, log.last_index, log.last_term, pre, transfer
-                    )
+        self.successors = {
+            data_id: self.data_id for data_id in self.group.predecessors(self.data_id)
+        }
+        log = self.log
+        for member in self.group.members:
+            if member.name == self.name:
+                continue
+            self.send(
+                VoteRequest(
+                    self.data_id,
+                    member.data_id,
+                    term,
+                    log.last_index,
+                    log.last_term,
+                    pre,
+                    transfer,
+                    member.name,
                 )
+            )
         self.count_votes(now)
 
     def on_leader_down(self, leader_id: str, now: float) -> None:
@@ -261,24 +287,54 @@
     def count_votes(self, now: float) -> None:
         """Start the election after a won pre-vote, or become leader after a won election."""
         granted = len(self.votes & set(self.group.voters()))
-        if granted < self.group.quorum():
+        has_majority = self.is_voter and granted >= self.group.quorum()
+        if not has_majority and not self.can_recover():
             return
         if self.pre_voting:
-            self.campaign(now, pre=False)
+            self.campaign(now, pre=False, recovery=not has_majority)
         elif self.role is Role.CANDIDATE:
-            self.become_leader(now)
+            self.become_leader(now, recovers=not has_majority)
+
+    def can_recover(self) -> bool:
+        """Return whether the answers allow an election without a majority of the voters.
+
+        Load pattern: voters lose their disks faster than their successors can join, for example
+        while the leader is frozen. The remaining voters are then fewer than a majority for good,
+        although they hold everything that was committed.
+
+        The data folders of so many voters have to be lost that no majority is left, and every
+        member has to grant its vote, or its successor in its place. Each data folder that exists
+        is then at most as up to date as this replica's. A member that does not answer, since it
+        is cut off or down, may hold more.
+        """
+        voters = set(self.group.voters())
+        if len(voters - self.successors.keys()) >= self.group.quorum():
+            return False
+        members = {member.data_id for member in self.group.members}
+        return members <= self.votes | self.successors.keys()
+
+    def become_leader(self, now: float, recovers: bool = False) -> None:
+        """Become leader and append an entry, whose commit commits all earlier entries too.
 
-    def become_leader(self, now: float) -> None:
-        """Become leader and append an empty entry, whose commit commits all earlier entries too."""
+        :param recovers: the entry holds a group in which successors replace the lost members.
+            Nothing is committed before a majority of that group, empty successors included, has
+            caught up.
+        """
+        self.recovered_from = dict(self.successors) if recovers else {}
         self.election_attempts = 0
         self.role = Role.LEADER
         self.leader_id = self.data_id
         self.leader_name = self.name
-        self.progress = {}
-        for member in self.group.members:
-            self.progress[member.data_id] = Progress(self.log.last_index + 1, heard_at=now)
         self.term_start_index = self.log.last_index + 1
-        self.append_as_leader(EntryKind.NOOP, b"", self.log.last_at_ms)
+        if recovers:
+            group = membership.recovered_group(self.group, self.data_id, self.successors)
+            self.append_as_leader(EntryKind.GROUP, self.encode_group(group), self.log.last_at_ms)
+        else:
+            self.append_as_leader(EntryKind.NOOP, b"", self.log.last_at_ms)
+        self.progress = {
+            member.data_id: Progress(self.term_start_index, heard_at=now)
+            for member in self.group.members
+        }
         self.broadcast(now)
 
     def on_vote_request(self, request: VoteRequest, now: float) -> None:
@@ -319,7 +375,8 @@
     def reply_vote(self, request: VoteRequest, granted: bool) -> None:
         """Reply with the request's term if the vote is granted, else with this replica's term."""
         term = request.term if granted else self.term
-        self.send(VoteReply(self.data_id, request.source, term, granted, request.pre))
+        lost = request.target if request.target != self.data_id else ""
+        self.send(VoteReply(self.data_id, request.source, term, granted, request.pre, lost))
 
     def on_vote_reply(self, reply: VoteReply, now: float) -> None:
         """Count a granted vote; step down if a refusal carries a newer term."""
@@ -332,7 +389,10 @@
             return
         if not reply.pre and self.role is not Role.CANDIDATE:
             return
-        self.votes.add(reply.source)
+        if reply.lost:
+            self.successors[reply.lost] = reply.source
+        else:
+            self.votes.add(reply.source)
         self.count_votes(now)
 
     def on_campaign_request(self, request: CampaignRequest, now: float) -> None:
@@ -662,8 +722,8 @@
     # Interface to the owner
 
     def receive(self, message: PeerMessage, now: float) -> None:
-        """Handle a peer's message; one for another data id is ignored unless it asks to join."""
-        if message.target != self.data_id and not isinstance(message, JoinRequest):
+        """Handle a peer's message, unless it is for another data folder."""
+        if not self.is_addressed(message):
             return
         if self.role is Role.LEADER:
             self.tick_leader(now)
@@ -678,6 +738,14 @@
         }[type(message)]
         handler(message, now)  # type: ignore[operator]
 
+    def is_addressed(self, message: PeerMessage) -> bool:
+        """Return whether a message is for this replica or for its lost predecessor."""
+        if message.target == self.data_id or isinstance(message, JoinRequest):
+            return True
+        if not isinstance(message, VoteRequest):
+            return False
+        return message.target_name == self.name != ""
+
     def synced(self, index: int, term: int) -> None:
         """Record that the log is on disk up to an entry, unless the entry was since replaced."""
         if self.log.term_at(index) == term:
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -551,7 +551,13 @@
             events.emit(
                 events.ROLE_CHANGED, role=node.role, term=node.term, leader=node.leader_name
             )
-
+            if node.role is Role.LEADER and node.recovered_from:
+                events.emit(
+                    events.GROUP_RECOVERED,
+                    term=node.term,
+                    last_index=node.log.last_index,
+                    successors=node.recovered_from,
+                )
         if node.leader_id:
             self.logged_standing = {}
         if node.group != self.logged_group:
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -272,6 +272,12 @@
     "WARNING",
     "A control replica hears no leader; which voters answer, and which data folders are gone.",
 )
+GROUP_RECOVERED = event(
+    515,
+    "group-recovered",
+    "WARNING",
+    "A control replica leads without a majority of the voters: the others lost their data folders.",
+)
 PART_UNAVAILABLE = event(
     509, "part-unavailable", "WARNING", "A part of a snapshot could not be read or fetched."
 )
