Let a wiped replica join as soon as the group has a leader

What callers saw: nothing by itself; the time in which a second lost disk leaves no majority lasted longer than it had to. A replica that is back empty asks to join after each round of probes, and a round waits a second for a peer that is frozen or down, so a new leader heard of it up to 1.2 s late.

Change: a leader adds the successors that answered in its election for lost members, also when the answer comes after the election is won. Join requests go on as before.

--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -379,7 +379,10 @@
         self.send(VoteReply(self.data_id, request.source, term, granted, request.pre, lost))
 
     def on_vote_reply(self, reply: VoteReply, now: float) -> None:
-        """Count a granted vote; step down if a refusal carries a newer term."""
+        """Count a granted vote; step down if a refusal carries a newer term.
+
+        A leader takes note of successors that answer after it was elected.
+        """
         if not reply.granted:
             if reply.term > self.term:
                 self.become_follower(reply.term, "", now)
@@ -387,7 +390,7 @@
         expected_term = self.term + 1 if reply.pre else self.term
         if reply.term != expected_term or reply.pre != self.pre_voting:
             return
-        if not reply.pre and self.role is not Role.CANDIDATE:
+        if not reply.pre and self.role is Role.FOLLOWER:
             return
         if reply.lost:
             self.successors[reply.lost] = reply.source
@@ -691,11 +694,25 @@
         )
 
     def adjust_group(self, now: float) -> None:
-        """Start the next membership change, if one is due."""
-        if self.can_change_group():
-            group = membership.next_group(self.membership_view(now))
-            if group is not None:
-                self.change_group(group, now)
+        """Start the next membership change, if one is due.
+
+        Successors that answered for lost members in this leader's election join without a request
+        of their own.
+        """
+        if not self.can_change_group():
+            return
+        view = self.membership_view(now)
+        for lost, successor in self.successors.items():
+            member = self.group.find(lost)
+            if member is not None and self.group.find(successor) is None:
+                request = JoinRequest(successor, self.data_id, member.name, member.address)
+                group = membership.group_after_join(request, view)
+                if group is not None:
+                    self.change_group(group, now)
+                    return
+        group = membership.next_group(view)
+        if group is not None:
+            self.change_group(group, now)
 
     def membership_view(self, now: float) -> membership.LeaderView:
         """Return the inputs of a membership decision."""
--- a/tests/test_open_group.py
+++ b/tests/test_open_group.py
@@ -5,6 +5,7 @@
 import pytest
 
 from apricotvale.consensus.membership import can_join
+from apricotvale.consensus.node import Node
 from apricotvale.control import commands as c
 from tests.operations import open_group
 from tests.replicas import Replicas
@@ -180,3 +181,20 @@
     assert group.run_until(
         lambda: has_members(group, {"a", "b", "c", "d"} - {returning.name}, {returning.name})
     )
+
+
+def test_a_wiped_voter_that_answers_in_an_election_joins_without_a_request(monkeypatch):
+    group = Replicas()
+    assert group.run_until(lambda: group.leader() is not None)
+    monkeypatch.setattr(Node, "on_join_request", lambda self, request, now: None)
+    leader = group.leader()
+    wiped = next(host for host in group.hosts.values() if host is not leader)
+    group.wipe(wiped)
+    group.run(0.1)
+    group.crash(leader)
+
+    def has_vote():
+        leader = group.leader()
+        return leader is not None and wiped.node.data_id in leader.node.group.voters()
+
+    assert group.run_until(has_vote, 4.0)
