Use only functions of os for the files of a data folder

A test can then put a simulated file system beneath FolderDisk by replacing the module's os. No change of behaviour: the same files are written, synced and renamed in the same order.

--- a/src/apricotvale/consensus/disk.py
+++ b/src/apricotvale/consensus/disk.py
@@ -4,11 +4,14 @@
 
 import fcntl
 import os
+from contextlib import suppress
 from pathlib import Path
 
 from apricotvale.exceptions import FolderInUseError
 
 LOCK_FILE = "lock"
+NEW_SUFFIX = ".new"
+READ_BYTES = 1024 * 1024
 
 
 def lock(folder: Path) -> int:
@@ -25,6 +28,13 @@
     return fd
 
 
+def write_all(fd: int, data: bytes) -> None:
+    """Write data to a file; a single write may be incomplete."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(fd, view) :]
+
+
 class FolderDisk:
     """Files in one folder, locked against use by another process.
 
@@ -32,7 +42,7 @@
     """
 
     def __init__(self, folder: Path) -> None:
-        folder.mkdir(parents=True, exist_ok=True)
+        os.makedirs(folder, exist_ok=True)
         self.folder = folder
         self.lock_fd = lock(folder)
         self.open_name = ""
@@ -40,13 +50,19 @@
 
     def read(self, name: str) -> bytes | None:
         """Return a file's content, or None if it does not exist."""
-        path = self.folder / name
-        return path.read_bytes() if path.exists() else None
+        try:
+            fd = os.open(self.folder / name, os.O_RDONLY)
+        except FileNotFoundError:
+            return None
+        try:
+            return b"".join(iter(lambda: os.read(fd, READ_BYTES), b""))
+        finally:
+            os.close(fd)
 
     def names(self) -> list[str]:
-        """Return the sorted file names, without the lock and incomplete replacements (`.new`)."""
-        names = (entry.name for entry in self.folder.iterdir() if entry.suffix != ".new")
-        return sorted(name for name in names if name != LOCK_FILE)
+        """Return the sorted file names, without the lock and incomplete replacements."""
+        names = os.listdir(self.folder)
+        return sorted(n for n in names if n != LOCK_FILE and not n.endswith(NEW_SUFFIX))
 
     def append(self, name: str, data: bytes) -> None:
         """Append data to a file, which is created if missing, and sync it."""
@@ -56,34 +72,38 @@
             self.open_fd = os.open(self.folder / name, flags, 0o644)
             self.open_name = name
             self.sync_folder()
-        view = memoryview(data)
-        while view:
-            view = view[os.write(self.open_fd, view) :]
+        write_all(self.open_fd, data)
         os.fdatasync(self.open_fd)
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace a file's content atomically and sync it."""
         self.close()
-        new = self.folder / f"{name}.new"
-        with open(new, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
+        new = self.folder / f"{name}{NEW_SUFFIX}"
+        fd = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
+        try:
+            write_all(fd, data)
+            os.fsync(fd)
+        finally:
+            os.close(fd)
         os.replace(new, self.folder / name)
         self.sync_folder()
 
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to `size` bytes and sync it."""
         self.close()
-        with open(self.folder / name, "r+b") as file:
-            file.truncate(size)
-            os.fsync(file.fileno())
+        fd = os.open(self.folder / name, os.O_WRONLY)
+        try:
+            os.ftruncate(fd, size)
+            os.fsync(fd)
+        finally:
+            os.close(fd)
 
     def remove(self, name: str) -> None:
         """Remove a file if it exists."""
         if name == self.open_name:
             self.close()
-        (self.folder / name).unlink(missing_ok=True)
+        with suppress(FileNotFoundError):
+            os.unlink(self.folder / name)
 
     def sync_folder(self) -> None:
         """Sync the folder, which makes file creations and renames durable."""
