Store each append in one frame, so that a torn one is not taken for bit rot

After a power loss a replica refused its folder for good: "segment is damaged at byte ...". Two such replicas stop a group of three.

An append of several records wrote a frame for each of them.

An append is now one frame with a Batch of its records. An intact frame after a damaged one thus belongs to a later append, before which the damaged one had been synced: the check for bit rot stays as it is. Folders of format 1 are read and continued as format 2, which the former version refuses with a clear error.

--- a/src/apricotvale/consensus/storage.py
+++ b/src/apricotvale/consensus/storage.py
@@ -1,6 +1,6 @@
 """Durable state of a replica: hard state, log segments and the snapshot, in one data folder.
 
-Records are framed by length and checksum. A torn record at the end of the last segment was never
+Each append is framed by length and checksum. A torn append at the end of the last segment was never
 acknowledged and is truncated; a folder with damage anywhere else is refused.
 """
 
@@ -19,7 +19,8 @@
 from apricotvale.exceptions import DataFolderError, DataFormatError, DiskError, IdentityError
 from apricotvale.hashing import digest
 
-FORMAT_VERSION = 1
+# Version 1 framed each record of an append by itself; such folders are read too.
+FORMAT_VERSION = 2
 FRAME = struct.Struct("<II")
 META_FILE = "meta"
 SNAPSHOT_FILE = "snapshot"
@@ -89,6 +90,20 @@
 Record = HardState | EntriesRecord | TruncateRecord
 
 
+@frozen
+class Batch:
+    """The records of one append.
+
+    A power loss may tear an append anywhere. In one frame, all of its records are lost together;
+    in frames of their own, an intact record could follow a damaged one, as after bit rot.
+    """
+
+    records: list[Record]
+
+
+Framed = Record | Batch
+
+
 def part_name(part: Part) -> str:
     """Return the file name of a part."""
     return f"{PART_PREFIX}{part.digest}"
@@ -113,6 +128,12 @@
     return bodies, offset
 
 
+def records_in(body: bytes) -> list[Record]:
+    """Return the records of a frame's body."""
+    framed: Framed = decode(body, Framed)
+    return framed.records if isinstance(framed, Batch) else [framed]
+
+
 class Storage:
     """A replica's data folder.
 
@@ -131,6 +152,9 @@
         self.segment = 0
         self.part_names = {name for name in disk.names() if name.startswith(PART_PREFIX)}
         self.stored = self.load()
+        if self.meta.format_version < FORMAT_VERSION:
+            self.meta = evolve(self.meta, format_version=FORMAT_VERSION)
+            self.disk.replace(META_FILE, frame(encode(self.meta, Meta)))
 
     def load_meta(self, name: str) -> Meta:
         """Read the folder's identity, or create one if the folder is empty."""
@@ -161,8 +185,7 @@
         entries: list[Entry] = []
         segments = [name for name in self.disk.names() if name.startswith(SEGMENT_PREFIX)]
         for name in segments:
-            for body in self.load_segment(name, name == segments[-1]):
-                record: Record = decode(body, Record)
+            for record in self.load_segment(name, name == segments[-1]):
                 if isinstance(record, HardState):
                     hard_state = record
                 elif isinstance(record, TruncateRecord):
@@ -220,22 +243,23 @@
             raise self.fail(error) from error
         self.part_names.add(part_name(part))
 
-    def load_segment(self, name: str, is_last: bool) -> list[bytes]:
-        """Read one segment; a torn record at the end of the last segment is truncated."""
+    def load_segment(self, name: str, is_last: bool) -> list[Record]:
+        """Read one segment; a torn append at the end of the last segment is truncated."""
         data = self.disk.read(name) or b""
         bodies, end = unframe(data)
+        records = [record for body in bodies for record in records_in(body)]
         if end == len(data):
-            return bodies
+            return records
         if not is_last or holds_record_after(data, end):
             raise DataFolderError(f"{name} is damaged at byte {end}; empty the folder to rejoin")
         self.disk.truncate(name, end)
-        return bodies
+        return records
 
     def append(self, records: list[Record]) -> None:
         """Append records to the current segment with a single sync."""
         if self.failed:
             raise self.failed
-        data = b"".join(frame(encode(record, Record)) for record in records)
+        data = frame(encode(Batch(records), Framed))
         try:
             self.disk.append(self.segment_name(), data)
         except OSError as error:
@@ -249,7 +273,7 @@
         if self.failed:
             raise self.failed
         records: list[Record] = [hard_state, TruncateRecord(0), EntriesRecord(kept)]
-        content = b"".join(frame(encode(record, Record)) for record in records)
+        content = b"".join(frame(encode(record, Framed)) for record in records)
         try:
             self.disk.replace(SNAPSHOT_FILE, frame(encode(snapshot, Snapshot)))
             self.segment += 1
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -8,11 +8,14 @@
 from apricotvale.consensus.disk import FolderDisk
 from apricotvale.consensus.messages import Entry, EntryKind, Group, GroupMember, HardState, Snapshot
 from apricotvale.consensus.storage import (
+    FORMAT_VERSION,
     FRAME,
     META_FILE,
     EntriesRecord,
     Meta,
+    Record,
     Storage,
+    Stored,
     TruncateRecord,
     frame,
 )
@@ -112,6 +115,20 @@
         Storage(disk, "a")
 
 
+def test_a_folder_of_format_1_is_read_and_continued():
+    """Its records have frames of their own; older versions refuse it from then on."""
+    disk = MemoryDisk()
+    disk.replace(META_FILE, frame(encode(Meta(1, "a", "id"), Meta)))
+    records = [HardState(3, "b"), EntriesRecord([entry(1), entry(2)]), TruncateRecord(1)]
+    disk.append(SEGMENT, b"".join(frame(encode(record, Record)) for record in records))
+    storage = Storage(disk, "a")
+    assert storage.stored.hard_state == HardState(3, "b")
+    storage.append([EntriesRecord([entry(2, term=3)]), HardState(4)])
+    storage = Storage(disk, "a")
+    assert storage.stored == Stored(HardState(4), None, [entry(1), entry(2, term=3)])
+    assert storage.meta == Meta(FORMAT_VERSION, "a", "id")
+
+
 def test_another_replicas_folder_is_refused():
     disk = MemoryDisk()
     written_storage(disk)
