--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+import time
 from pathlib import Path
 
 import pytest
@@ -26,6 +27,7 @@
 OPERATIONS_PER_WALK = 30
 MAX_STEPS_TO_END = 12
 PAYLOAD_BYTES = (0, 20, 400, 900, 5000)
+MAX_START_CPU_S = 2.0
 
 
 @frozen
@@ -354,3 +356,16 @@
     replica.start()
     replica.append(EntriesRecord(entries_from(4, 1, [40])))
     replica.start()
+
+
+@pytest.mark.parametrize("tail", ["random", "zeros"])
+def test_a_large_torn_append_does_not_delay_the_start(tail, simulate):
+    files = simulate(0)
+    replica = replica_with_log(files, 3)
+    size = 2 * 1024 * 1024
+    files.names[SEGMENT].content.extend(
+        bytes(size) if tail == "zeros" else files.rng.randbytes(size)
+    )
+    started_at = time.process_time()
+    replica.start()
+    assert time.process_time() < started_at + MAX_START_CPU_S
