Search the rest of a torn append in linear time

A replica that lost power during a large append did not answer for minutes after it was back.

To tell a torn append from bit rot, load_segment looks for an intact frame at each byte after the damage, and copied the rest of the segment each time, up to the length that the bytes there happen to name.

--- a/src/apricotvale/consensus/storage.py
+++ b/src/apricotvale/consensus/storage.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import struct
 import uuid
 import zlib
@@ -309,11 +310,19 @@
 
 
 def holds_record_after(data: bytes, offset: int) -> bool:
-    """Return whether an intact record follows the damaged one at `offset`."""
-    for start in range(offset + 1, len(data) - FRAME.size):
+    """Return whether an intact record follows the damaged one at `offset`.
+
+    Load pattern: an append of megabytes was torn, and callers wait for the replica to start. Only
+    places are tried whose length is neither 0 nor more than the size of the data.
+    """
+    view = memoryview(data)
+    highest_byte = re.escape(bytes([len(data) >> 24]))
+    places = re.compile(rb"(?s)(?=(?!\0{4})...[\0-" + highest_byte + rb"])")
+    for match in places.finditer(data, offset + 1, max(0, len(data) - FRAME.size + 4)):
+        start = match.start()
         length, checksum = FRAME.unpack_from(data, start)
-        body = data[start + FRAME.size : start + FRAME.size + length]
-        if length and len(body) == length and zlib.crc32(body) == checksum:
+        body = view[start + FRAME.size : start + FRAME.size + length]
+        if len(body) == length and zlib.crc32(body) == checksum:
             return True
     return False
 
