Sync what a replica loads before it acts on it

Acknowledged changes, votes and terms could be taken back by a power loss after a kill.

A process that is killed between a write and its sync leaves the write in the page cache. Its successor loaded it and went on as if it was synced: it told the leader that its log matches, without a write of its own, and counted the entries as synced. A later power loss took them back.

load() now syncs the last segment and the folder's names. All other files are synced before they are renamed into place.

--- a/src/apricotvale/consensus/disk.py
+++ b/src/apricotvale/consensus/disk.py
@@ -88,6 +88,15 @@
         os.replace(new, self.folder / name)
         self.sync_folder()
 
+    def sync(self, name: str) -> None:
+        """Sync a file, and the names of all files."""
+        fd = os.open(self.folder / name, os.O_WRONLY)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+        self.sync_folder()
+
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to `size` bytes and sync it."""
         self.close()
--- a/src/apricotvale/consensus/storage.py
+++ b/src/apricotvale/consensus/storage.py
@@ -44,6 +44,9 @@
     def replace(self, name: str, data: bytes) -> None:
         """Replace a file's content atomically and sync it."""
 
+    def sync(self, name: str) -> None:
+        """Sync a file, and the names of all files."""
+
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to `size` bytes and sync it."""
 
@@ -180,11 +183,16 @@
         return meta
 
     def load(self) -> Stored:
-        """Read the snapshot and replay the segments."""
+        """Read the snapshot and replay the segments, once all that they show is synced.
+
+        A process that was killed may have left an append or a new name without its sync. The
+        replica acts on what it loads, so a later power loss must not take it back.
+        """
         snapshot = self.load_snapshot()
         hard_state = HardState()
         entries: list[Entry] = []
         segments = [name for name in self.disk.names() if name.startswith(SEGMENT_PREFIX)]
+        self.disk.sync(segments[-1] if segments else META_FILE)
         for name in segments:
             for record in self.load_segment(name, name == segments[-1]):
                 if isinstance(record, HardState):
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -85,6 +85,9 @@
     def replace(self, name, data):
         self.files[name] = bytearray(data)
 
+    def sync(self, name):
+        pass
+
     def truncate(self, name, size):
         del self.files[name][size:]
 
