--- a/src/apricotvale/consensus/storage.py
+++ b/src/apricotvale/consensus/storage.py
@@ -202,8 +202,11 @@
                 else:
                     entries = replay(entries, record.entries)
             self.segment = int(name.removeprefix(SEGMENT_PREFIX))
-        check_contiguous(snapshot, entries)
-        return Stored(hard_state, snapshot, entries)
+        kept = joined(snapshot, entries)
+        check_contiguous(snapshot, kept)
+        if len(kept) < len(entries):
+            self.start_segment(hard_state, kept)
+        return Stored(hard_state, snapshot, kept)
 
     def load_snapshot(self) -> Snapshot | None:
         """Read the snapshot file, or return None if there is none."""
@@ -281,21 +284,25 @@
         """
         if self.failed:
             raise self.failed
-        records: list[Record] = [hard_state, TruncateRecord(0), EntriesRecord(kept)]
-        content = b"".join(frame(encode(record, Framed)) for record in records)
         try:
             self.disk.replace(SNAPSHOT_FILE, frame(encode(snapshot, Snapshot)))
-            self.segment += 1
-            self.disk.replace(self.segment_name(), content)
-            for name in self.disk.names():
-                if name.startswith(SEGMENT_PREFIX) and name < self.segment_name():
-                    self.disk.remove(name)
+            self.start_segment(hard_state, kept)
             for name in self.part_names - {part_name(part) for part in snapshot.parts}:
                 self.disk.remove(name)
                 self.part_names.discard(name)
         except OSError as error:
             raise self.fail(error) from error
 
+    def start_segment(self, hard_state: HardState, kept: list[Entry]) -> None:
+        """Write a new segment that replaces all others, and remove these."""
+        records: list[Record] = [hard_state, TruncateRecord(0), EntriesRecord(kept)]
+        self.segment += 1
+        content = b"".join(frame(encode(record, Framed)) for record in records)
+        self.disk.replace(self.segment_name(), content)
+        for name in self.disk.names():
+            if name.startswith(SEGMENT_PREFIX) and name < self.segment_name():
+                self.disk.remove(name)
+
     def segment_name(self) -> str:
         """Return the file name of the current segment."""
         return f"{SEGMENT_PREFIX}{self.segment:010d}"
@@ -317,6 +324,18 @@
     return [entry for entry in entries if entry.index < first] + list(added)
 
 
+def joined(snapshot: Snapshot | None, entries: list[Entry]) -> list[Entry]:
+    """Return the entries without those that a snapshot covers, if they do not lead to it.
+
+    A snapshot of the leader is stored before the segment that replaces the log. If the process
+    ends in between, the old log may end before the snapshot or differ from it. Entries beyond the
+    snapshot stay: they are the leader's next ones, or an uncommitted end that it will replace.
+    """
+    if snapshot is None or (snapshot.index, snapshot.term) in ((e.index, e.term) for e in entries):
+        return entries
+    return [entry for entry in entries if entry.index > snapshot.index]
+
+
 def holds_record_after(data: bytes, offset: int) -> bool:
     """Return whether an intact record follows the damaged one at `offset`.
 
