--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -61,9 +61,12 @@
         return evolve(self, entries=kept + added)
 
     def with_snapshot(self, snapshot):
-        """Return the view with a newer snapshot."""
+        """Return the view with a newer snapshot; a term below it is raised, without a vote."""
         beyond = tuple(entry for entry in self.entries if entry.index > snapshot.index)
-        return evolve(self, snapshot=snapshot, entries=beyond)
+        state = self.hard_state
+        if state.term < snapshot.term:
+            state = HardState(snapshot.term)
+        return View(state, snapshot, beyond)
 
 
 def view_of(stored):
@@ -76,6 +79,7 @@
     if log.start_index < covered:
         last_covered = log.entries[covered - log.start_index - 1]
         assert last_covered.term == log.snapshot.term, "entries differ from the snapshot over them"
+    assert stored.hard_state.term >= max(log.last_term, log.snapshot.term), "the term is too old"
     entries = tuple(log.slice(covered + 1, log.last_index))
     return View(stored.hard_state, stored.snapshot, entries)
 
@@ -135,19 +139,20 @@
         self.storage.append(list(records))
         self.allowed = [self.view]
 
-    def save(self, snapshot, kept, contents=()):
-        """Save a snapshot of this replica's own, with all entries that are not in `kept` lost."""
+    def save(self, snapshot, kept, contents=(), hard_state=None):
+        """Save a snapshot, with all entries lost that are not in `kept`.
+
+        :param hard_state: a newer hard state, saved with it.
+        """
+        hard_state = hard_state or self.view.hard_state
         for content in contents:
             self.storage.save_part(part_of(content), content)
-        after = evolve(
-            self.view,
-            snapshot=snapshot,
-            entries=tuple(entry for entry in kept if entry.index > snapshot.index),
-        )
+        beyond = tuple(entry for entry in kept if entry.index > snapshot.index)
+        after = View(hard_state, snapshot, beyond)
         # The snapshot may be stored without the new segment. Old entries beyond it are then the
         # uncommitted end of a log, whose terms no candidate of a later term can have.
         self.allowed = [self.view, self.view.with_snapshot(snapshot), after]
-        self.storage.save_snapshot(snapshot, self.view.hard_state, kept)
+        self.storage.save_snapshot(snapshot, hard_state, kept)
         self.allowed = [after]
 
 
@@ -225,15 +230,16 @@
     def install(self):
         """Install a leader's snapshot; the own log is behind it or differs from it."""
         view = self.replica.view
-        term = view.hard_state.term
+        term = view.hard_state.term + self.rng.randint(0, 1)
         first = max(self.committed, view.covered) + 1
         if not term:
             return
+        hard_state = HardState(term) if term > view.hard_state.term else view.hard_state
         index = self.rng.randint(first, max(first, view.last_index) + 3)
         contents = self.contents()
         parts = tuple(part_of(content) for content in contents)
         snapshot = Snapshot(index, term, 0, Group(), b"leader's", parts)
-        self.replica.save(snapshot, [], contents)
+        self.replica.save(snapshot, [], contents, hard_state)
         self.committed = index
 
 
@@ -281,7 +287,8 @@
         assert run_until_end(files, 1 + seed % 2, replica.append, *records)
         files.lose_power("some")
         replica.start()
-        replica.append(EntriesRecord(entries_from(replica.view.last_index + 1, 2, [40])))
+        first, term = replica.view.last_index + 1, replica.view.hard_state.term
+        replica.append(EntriesRecord(entries_from(first, term, [40])))
         replica.start()
 
 
@@ -306,6 +313,18 @@
     assert not ended
 
 
+def test_the_term_is_not_below_the_terms_of_the_log_after_an_installation_was_cut_short(simulate):
+    """The leader's term is saved after its snapshot, with the new segment."""
+    for steps in range(30):
+        files = simulate(steps)
+        replica = replica_with_log(files, 3)
+        snapshot = Snapshot(10, 7, 0, Group(), b"leader's")
+        ended = run_until_end(files, steps, replica.save, snapshot, [], (), HardState(8))
+        files.lose_power("none")
+        replica.start()
+    assert not ended
+
+
 def test_records_that_a_killed_process_had_not_synced_are_kept_once_they_were_loaded(simulate):
     for steps in range(30):
         files = simulate(steps)
