--- a/src/apricotvale/consensus/storage.py
+++ b/src/apricotvale/consensus/storage.py
@@ -204,6 +204,9 @@
             self.segment = int(name.removeprefix(SEGMENT_PREFIX))
         kept = joined(snapshot, entries)
         check_contiguous(snapshot, kept)
+        newest_term = max([snapshot.term if snapshot else 0, *(entry.term for entry in kept[-1:])])
+        if hard_state.term < newest_term:
+            hard_state = with_term(hard_state, newest_term)
         if len(kept) < len(entries):
             self.start_segment(hard_state, kept)
         return Stored(hard_state, snapshot, kept)
