--- a/src/apricotvale/consensus/storage.py
+++ b/src/apricotvale/consensus/storage.py
@@ -1,11 +1,12 @@
 """Durable state of a replica: hard state, log segments and the snapshot, in one data folder.
 
-Records are framed by length and checksum. A torn record at the end of the last segment was never
+Each append is framed by length and checksum. A torn append at the end of the last segment was never
 acknowledged and is truncated; a folder with damage anywhere else is refused.
 """
 
 from __future__ import annotations
 
+import re
 import struct
 import uuid
 import zlib
@@ -19,7 +20,8 @@
 from apricotvale.exceptions import DataFolderError, DataFormatError, DiskError, IdentityError
 from apricotvale.hashing import digest
 
-FORMAT_VERSION = 1
+# Version 1 framed each record of an append by itself; such folders are read too.
+FORMAT_VERSION = 2
 FRAME = struct.Struct("<II")
 META_FILE = "meta"
 SNAPSHOT_FILE = "snapshot"
@@ -42,6 +44,9 @@
     def replace(self, name: str, data: bytes) -> None:
         """Replace a file's content atomically and sync it."""
 
+    def sync(self, name: str) -> None:
+        """Sync a file, and the names of all files."""
+
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to `size` bytes and sync it."""
 
@@ -89,6 +94,20 @@
 Record = HardState | EntriesRecord | TruncateRecord
 
 
+@frozen
+class Batch:
+    """The records of one append.
+
+    A power loss may tear an append anywhere. In one frame, all of its records are lost together;
+    in frames of their own, an intact record could follow a damaged one, as after bit rot.
+    """
+
+    records: list[Record]
+
+
+Framed = Record | Batch
+
+
 def part_name(part: Part) -> str:
     """Return the file name of a part."""
     return f"{PART_PREFIX}{part.digest}"
@@ -113,6 +132,12 @@
     return bodies, offset
 
 
+def records_in(body: bytes) -> list[Record]:
+    """Return the records of a frame's body."""
+    framed: Framed = decode(body, Framed)
+    return framed.records if isinstance(framed, Batch) else [framed]
+
+
 class Storage:
     """A replica's data folder.
 
@@ -131,6 +156,9 @@
         self.segment = 0
         self.part_names = {name for name in disk.names() if name.startswith(PART_PREFIX)}
         self.stored = self.load()
+        if self.meta.format_version < FORMAT_VERSION:
+            self.meta = evolve(self.meta, format_version=FORMAT_VERSION)
+            self.disk.replace(META_FILE, frame(encode(self.meta, Meta)))
 
     def load_meta(self, name: str) -> Meta:
         """Read the folder's identity, or create one if the folder is empty."""
@@ -155,14 +183,18 @@
         return meta
 
     def load(self) -> Stored:
-        """Read the snapshot and replay the segments."""
+        """Read the snapshot and replay the segments, once all that they show is synced.
+
+        A process that was killed may have left an append or a new name without its sync. The
+        replica acts on what it loads, so a later power loss must not take it back.
+        """
         snapshot = self.load_snapshot()
         hard_state = HardState()
         entries: list[Entry] = []
         segments = [name for name in self.disk.names() if name.startswith(SEGMENT_PREFIX)]
+        self.disk.sync(segments[-1] if segments else META_FILE)
         for name in segments:
-            for body in self.load_segment(name, name == segments[-1]):
-                record: Record = decode(body, Record)
+            for record in self.load_segment(name, name == segments[-1]):
                 if isinstance(record, HardState):
                     hard_state = record
                 elif isinstance(record, TruncateRecord):
@@ -170,8 +202,14 @@
                 else:
                     entries = replay(entries, record.entries)
             self.segment = int(name.removeprefix(SEGMENT_PREFIX))
-        check_contiguous(snapshot, entries)
-        return Stored(hard_state, snapshot, entries)
+        kept = joined(snapshot, entries)
+        check_contiguous(snapshot, kept)
+        newest_term = max([snapshot.term if snapshot else 0, *(entry.term for entry in kept[-1:])])
+        if hard_state.term < newest_term:
+            hard_state = with_term(hard_state, newest_term)
+        if len(kept) < len(entries):
+            self.start_segment(hard_state, kept)
+        return Stored(hard_state, snapshot, kept)
 
     def load_snapshot(self) -> Snapshot | None:
         """Read the snapshot file, or return None if there is none."""
@@ -220,22 +258,23 @@
             raise self.fail(error) from error
         self.part_names.add(part_name(part))
 
-    def load_segment(self, name: str, is_last: bool) -> list[bytes]:
-        """Read one segment; a torn record at the end of the last segment is truncated."""
+    def load_segment(self, name: str, is_last: bool) -> list[Record]:
+        """Read one segment; a torn append at the end of the last segment is truncated."""
         data = self.disk.read(name) or b""
         bodies, end = unframe(data)
+        records = [record for body in bodies for record in records_in(body)]
         if end == len(data):
-            return bodies
+            return records
         if not is_last or holds_record_after(data, end):
             raise DataFolderError(f"{name} is damaged at byte {end}; empty the folder to rejoin")
         self.disk.truncate(name, end)
-        return bodies
+        return records
 
     def append(self, records: list[Record]) -> None:
         """Append records to the current segment with a single sync."""
         if self.failed:
             raise self.failed
-        data = b"".join(frame(encode(record, Record)) for record in records)
+        data = frame(encode(Batch(records), Framed))
         try:
             self.disk.append(self.segment_name(), data)
         except OSError as error:
@@ -248,21 +287,25 @@
         """
         if self.failed:
             raise self.failed
-        records: list[Record] = [hard_state, TruncateRecord(0), EntriesRecord(kept)]
-        content = b"".join(frame(encode(record, Record)) for record in records)
         try:
             self.disk.replace(SNAPSHOT_FILE, frame(encode(snapshot, Snapshot)))
-            self.segment += 1
-            self.disk.replace(self.segment_name(), content)
-            for name in self.disk.names():
-                if name.startswith(SEGMENT_PREFIX) and name < self.segment_name():
-                    self.disk.remove(name)
+            self.start_segment(hard_state, kept)
             for name in self.part_names - {part_name(part) for part in snapshot.parts}:
                 self.disk.remove(name)
                 self.part_names.discard(name)
         except OSError as error:
             raise self.fail(error) from error
 
+    def start_segment(self, hard_state: HardState, kept: list[Entry]) -> None:
+        """Write a new segment that replaces all others, and remove these."""
+        records: list[Record] = [hard_state, TruncateRecord(0), EntriesRecord(kept)]
+        self.segment += 1
+        content = b"".join(frame(encode(record, Framed)) for record in records)
+        self.disk.replace(self.segment_name(), content)
+        for name in self.disk.names():
+            if name.startswith(SEGMENT_PREFIX) and name < self.segment_name():
+                self.disk.remove(name)
+
     def segment_name(self) -> str:
         """Return the file name of the current segment."""
         return f"{SEGMENT_PREFIX}{self.segment:010d}"
@@ -284,12 +327,32 @@
     return [entry for entry in entries if entry.index < first] + list(added)
 
 
+def joined(snapshot: Snapshot | None, entries: list[Entry]) -> list[Entry]:
+    """Return the entries without those that a snapshot covers, if they do not lead to it.
+
+    A snapshot of the leader is stored before the segment that replaces the log. If the process
+    ends in between, the old log may end before the snapshot or differ from it. Entries beyond the
+    snapshot stay: they are the leader's next ones, or an uncommitted end that it will replace.
+    """
+    if snapshot is None or (snapshot.index, snapshot.term) in ((e.index, e.term) for e in entries):
+        return entries
+    return [entry for entry in entries if entry.index > snapshot.index]
+
+
 def holds_record_after(data: bytes, offset: int) -> bool:
-    """Return whether an intact record follows the damaged one at `offset`."""
-    for start in range(offset + 1, len(data) - FRAME.size):
+    """Return whether an intact record follows the damaged one at `offset`.
+
+    Load pattern: an append of megabytes was torn, and callers wait for the replica to start. Only
+    places are tried whose length is neither 0 nor more than the size of the data.
+    """
+    view = memoryview(data)
+    highest_byte = re.escape(bytes([len(data) >> 24]))
+    places = re.compile(rb"(?s)(?=(?!\0{4})...[\0-" + highest_byte + rb"])")
+    for match in places.finditer(data, offset + 1, max(0, len(data) - FRAME.size + 4)):
+        start = match.start()
         length, checksum = FRAME.unpack_from(data, start)
-        body = data[start + FRAME.size : start + FRAME.size + length]
-        if length and len(body) == length and zlib.crc32(body) == checksum:
+        body = view[start + FRAME.size : start + FRAME.size + length]
+        if len(body) == length and zlib.crc32(body) == checksum:
             return True
     return False
 
