--- a/tests/power_loss.py
+++ b/tests/power_loss.py
@@ -53,7 +53,13 @@
     changes: list[Write | Truncation] = field(factory=list)
 
     def sync(self):
-        self.synced = bytes(self.content)
+        content = bytearray(self.synced)
+        for change in self.changes:
+            if isinstance(change, Truncation):
+                del content[change.size :]
+            else:
+                put(content, change.offset, change.data)
+        self.synced = bytes(content)
         self.changes = []
 
     def lose_power(self, loss, rng):
@@ -131,6 +137,7 @@
         self.steps = 0
         self.end_at = None
         self.refuses_writes = False
+        self.refuses_syncs = False
 
     # Faults
 
@@ -164,7 +171,7 @@
         inodes = {id(inode): inode for inode in names.values()}
         for inode in inodes.values():
             inode.content = bytearray(inode.lose_power(loss, self.rng))
-            inode.sync()
+            inode.synced, inode.changes = bytes(inode.content), []
         self.names = names
         self.sync_names()
 
@@ -237,8 +244,17 @@
         del inode.content[size:]
 
     def fsync(self, fd):
+        """Sync a file or the folder.
+
+        After a failed sync the kernel takes what was written for clean: later syncs succeed
+        without it, although it can be read until the power is lost.
+        """
         self.next_step()
         inode = self.opened[fd].inode
+        if self.refuses_syncs:
+            if inode is not None:
+                inode.changes = []
+            raise OSError(errno.EIO, "input/output error")
         if inode is None:
             self.sync_names()
         else:
--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -17,7 +17,7 @@
 from apricotvale.consensus.log import Log
 from apricotvale.consensus.messages import Entry, EntryKind, Group, HardState, Part, Snapshot
 from apricotvale.consensus.storage import EntriesRecord, Storage, TruncateRecord
-from apricotvale.exceptions import DataFolderError
+from apricotvale.exceptions import DataFolderError, DiskError
 from apricotvale.hashing import digest
 from tests.power_loss import LOSSES, ProcessEnd, simulate_files
 
@@ -388,3 +388,31 @@
     started_at = time.process_time()
     replica.start()
     assert time.process_time() < started_at + MAX_START_CPU_S
+
+
+def test_no_replacement_that_was_cut_short_stays_in_the_folder(simulate):
+    """Each part has a name of its own, so nothing would ever overwrite such a file."""
+    for seed in range(100):
+        files = simulate(seed)
+        replica = replica_with_log(files, 3)
+        content = bytes(5000)
+        snapshot = Snapshot(3, 1, 0, Group(), b"own", (part_of(content),))
+        run_until_end(files, seed % 20, replica.save, snapshot, [], [content])
+        files.lose_power("some")
+        replica.start()
+        assert not [name for name in files.names if name.endswith(".new")]
+
+
+def test_records_of_a_failed_sync_are_not_used_after_a_restart(simulate):
+    files = simulate(0)
+    replica = replica_with_log(files, 3)
+    view = replica.view
+    files.refuses_syncs = True
+    with pytest.raises(DiskError):
+        replica.append(HardState(2, "c"), EntriesRecord(entries_from(4, 2, [900])))
+    files.refuses_syncs = False
+    files.kill()
+    replica.start()
+    files.lose_power("all")
+    replica.start()
+    assert replica.view == view
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -11,6 +11,7 @@
     FORMAT_VERSION,
     FRAME,
     META_FILE,
+    SNAPSHOT_FILE,
     EntriesRecord,
     Meta,
     Record,
@@ -108,6 +109,18 @@
         Storage(disk, "a")
 
 
+def test_a_gap_that_the_snapshot_covers_is_read():
+    """Former versions appended to the old log after an installation that was cut short."""
+    disk = MemoryDisk()
+    written_storage(disk, 2)
+    snapshot = Snapshot(5, 2, 0, Group(), b"leader's")
+    disk.replace(SNAPSHOT_FILE, frame(encode(snapshot, Snapshot)))
+    added = EntriesRecord([entry(6, term=2), entry(7, term=2)])
+    disk.append(SEGMENT, frame(encode(added, Record)))
+    assert indexes(disk) == [6, 7]
+    assert indexes(disk) == [6, 7]
+
+
 def test_a_newer_format_is_refused():
     disk = MemoryDisk()
     disk.replace(META_FILE, frame(encode(Meta(99, "a", "id"), Meta)))
