--- a/src/apricotvale/consensus/disk.py
+++ b/src/apricotvale/consensus/disk.py
@@ -38,7 +38,8 @@
 class FolderDisk:
     """Files in one folder, locked against use by another process.
 
-    The file last appended to stays open; a replaced file is renamed into place.
+    The file last appended to stays open; a replaced file is renamed into place. Replacements that
+    an earlier process did not complete are removed.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -47,6 +48,9 @@
         self.lock_fd = lock(folder)
         self.open_name = ""
         self.open_fd = -1
+        for name in os.listdir(folder):
+            if name.endswith(NEW_SUFFIX):
+                os.unlink(folder / name)
 
     def read(self, name: str) -> bytes | None:
         """Return a file's content, or None if it does not exist."""
