Cut a failed append off, so that the next process does not take it for synced

After a failed sync the kernel takes the data for clean: it can be read, and the next sync succeeds, but the data is not on the disk. A process that started after a disk error loaded such records, acknowledged them and lost them with the next loss of power.

append() now truncates the file to its former length after a failed write or sync. Should the disk refuse that too, nothing better is known.

--- a/src/apricotvale/consensus/disk.py
+++ b/src/apricotvale/consensus/disk.py
@@ -48,6 +48,7 @@
         self.lock_fd = lock(folder)
         self.open_name = ""
         self.open_fd = -1
+        self.open_size = 0
         for name in os.listdir(folder):
             if name.endswith(NEW_SUFFIX):
                 os.unlink(folder / name)
@@ -75,9 +76,18 @@
             flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
             self.open_fd = os.open(self.folder / name, flags, 0o644)
             self.open_name = name
+            self.open_size = os.fstat(self.open_fd).st_size
             self.sync_folder()
-        write_all(self.open_fd, data)
-        os.fdatasync(self.open_fd)
+        try:
+            write_all(self.open_fd, data)
+            os.fdatasync(self.open_fd)
+        except OSError:
+            # After a failed sync the data can be read until the power is lost, and later syncs
+            # succeed without it. The next process must not take it for synced.
+            with suppress(OSError):
+                os.ftruncate(self.open_fd, self.open_size)
+            raise
+        self.open_size += len(data)
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace a file's content atomically and sync it."""
--- a/tests/power_loss.py
+++ b/tests/power_loss.py
@@ -224,6 +224,9 @@
         opened.position += len(data)
         return data
 
+    def fstat(self, fd):
+        return SimpleNamespace(st_size=len(self.opened[fd].inode.content))
+
     def write(self, fd, data):
         self.next_step()
         if self.refuses_writes:
