--- a/src/apricotvale/consensus/disk.py
+++ b/src/apricotvale/consensus/disk.py
@@ -38,7 +38,8 @@
 class FolderDisk:
     """Files in one folder, locked against use by another process.
 
-    The file last appended to stays open; a replaced file is renamed into place.
+    The file last appended to stays open; a replaced file is renamed into place. Replacements that
+    an earlier process did not complete are removed.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -47,6 +48,10 @@
         self.lock_fd = lock(folder)
         self.open_name = ""
         self.open_fd = -1
+        self.open_size = 0
+        for name in os.listdir(folder):
+            if name.endswith(NEW_SUFFIX):
+                os.unlink(folder / name)
 
     def read(self, name: str) -> bytes | None:
         """Return a file's content, or None if it does not exist."""
@@ -71,9 +76,18 @@
             flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
             self.open_fd = os.open(self.folder / name, flags, 0o644)
             self.open_name = name
+            self.open_size = os.fstat(self.open_fd).st_size
             self.sync_folder()
-        write_all(self.open_fd, data)
-        os.fdatasync(self.open_fd)
+        try:
+            write_all(self.open_fd, data)
+            os.fdatasync(self.open_fd)
+        except OSError:
+            # After a failed sync the data can be read until the power is lost, and later syncs
+            # succeed without it. The next process must not take it for synced.
+            with suppress(OSError):
+                os.ftruncate(self.open_fd, self.open_size)
+            raise
+        self.open_size += len(data)
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace a file's content atomically and sync it."""
