Let a control replica go on once its disk accepts writes again

Cause: after a failed write a replica rejected everything until its process ended, and nothing ended it. It kept its vote, so the group bore one loss less without an end. The same class as the lost quorum: a voter that counts and never answers again. Simulated replicas restart after a disk error, so no test played it.

Change: the replica loads its folder again once a second and writes the log to a new segment; when that succeeds it restarts its node from it. Why it works: nothing that was not synced was acknowledged, and the new segment holds what was loaded, also where the kernel showed data of a failed sync. A damaged folder ends the process as at start.

Ruled out: ending the process, which loops while the disk is full and counts as a failure of the program.

--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -46,6 +46,8 @@
 SPARE_PROBE_INTERVAL_S = 1.0
 # In an open group, a replica that has heard no leader for this long asks to join again.
 LEADER_SILENCE_S = 1.0
+# A replica whose disk has failed tries this often to load its data folder again.
+DISK_RETRY_S = 1.0
 FIRST_INDEX = 1
 FIRST_TERM = 1
 # A snapshot is saved once this much has been applied since the last one.
@@ -269,12 +271,47 @@
                 self.reject_pending()
 
     async def run_event_loop(self) -> None:
-        """Process events; after a disk failure, reject all of them."""
-        try:
-            await self.process_events()
-        except DiskError as error:
-            events.emit(events.DISK_FAILED, detail=str(error), code=error.code)
-            await self.reject_until_cancelled()
+        """Process events; after a disk failure, reject all of them until the disk works again."""
+        while True:
+            try:
+                await self.process_events()
+            except DiskError as error:
+                events.emit(events.DISK_FAILED, detail=str(error), code=error.code)
+            await self.reopen_storage()
+
+    async def reopen_storage(self) -> None:
+        """Load the data folder again, and restart the node with it, once the disk accepts writes.
+
+        Load pattern: a disk that is full or refuses writes for some seconds. A replica that stayed
+        out for good would count as lost, although all that it has acknowledged is on its disk.
+
+        :raises DataFolderError: if the folder is damaged.
+        """
+        while True:
+            await self.reject_until(clock.now() + DISK_RETRY_S)
+            try:
+                storage = await self.run_on_disk(self.load_again)
+            except OSError as error:
+                events.emit(events.DISK_FAILED, detail=str(error), code=error.errno or 0)
+                continue
+            break
+        self.storage = storage
+        self.node = self.make_node(storage.stored)
+        self.applied_bytes = self.applied_entries = 0
+        self.on_applied()
+        events.emit(events.DISK_RECOVERED, last_index=self.node.log.last_index)
+
+    def load_again(self) -> Storage:
+        """Load the data folder after a failure, and write the log anew.
+
+        After a failed sync, data that is not on the disk can still be read, and another sync
+        succeeds without writing it.
+
+        :raises OSError: if the disk still fails.
+        """
+        storage = Storage(self.storage.disk, self.name)
+        storage.start_segment(storage.stored.hard_state, storage.stored.entries)
+        return storage
 
     async def process_events(self) -> None:
         """Feed events and the time to the node, and carry out the work it returns."""
@@ -304,12 +341,19 @@
         finally:
             timer.cancel()
 
-    async def reject_until_cancelled(self) -> None:
-        """Answer every call as a replica that does not lead, until cancelled."""
-        while True:
-            self.reject_pending()
-            await self.wake.wait()
-            self.wake.clear()
+    async def reject_until(self, deadline: float) -> None:
+        """Answer every call as a replica that does not lead.
+
+        :param deadline: on `clock.now`, in seconds.
+        """
+        timer = asyncio.get_running_loop().call_later(deadline - clock.now(), self.wake.set)
+        try:
+            while clock.now() < deadline:
+                self.reject_pending()
+                await self.wake.wait()
+                self.wake.clear()
+        finally:
+            timer.cancel()
 
     def reject_pending(self) -> None:
         """Answer all pending and queued calls as a replica that does not lead."""
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -257,6 +257,9 @@
 DISK_FAILED = event(
     505, "disk-failed", "ERROR", "A disk write or sync failed; the replica stops voting."
 )
+DISK_RECOVERED = event(
+    516, "disk-recovered", "INFO", "A replica loaded its data folder again; its disk works."
+)
 PEER_LOST = event(507, "peer-lost", "WARNING", "A control replica does not answer a peer.")
 PEER_FOUND = event(508, "peer-found", "INFO", "A control replica answers a peer again.")
 GROUP_CHANGED = event(506, "group-changed", "INFO", "The group of control replicas changed.")
