Name no former leader while the disk of a control replica has failed

What callers saw: a replica whose disk had failed sent them to the leader that it knew at the failure, also when another one led since, and itself if it had led.

Cause: its node was not run any more and kept the leader. It steps down now and names none.

The assertion added to tests/test_disk_failure.py failed without the change ("callers are sent to a leader of the time before") and passes with it.

--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -277,6 +277,7 @@
                 await self.process_events()
             except DiskError as error:
                 events.emit(events.DISK_FAILED, detail=str(error), code=error.code)
+            self.node.become_follower(self.node.term, "", clock.now())
             await self.reopen_storage()
 
     async def reopen_storage(self) -> None:
--- a/tests/test_disk_failure.py
+++ b/tests/test_disk_failure.py
@@ -82,6 +82,7 @@
     assert not replica.leads
     await asyncio.sleep(1.5)
     assert not replica.leads, "the replica leads although its disk refuses writes"
+    assert not replica.node.leader_id, "callers are sent to a leader of the time before"
     disk.fails = False
     await wait_until(lambda: replica.leads and published(replica) == 1)
     await publish(replica, 3)
