Let a replica whose disk has failed not ask to join

A replica that hears no leader asks to join, also while its disk refuses writes: as a member that was replaced meanwhile, it would take a learner's place and store nothing.

--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -656,7 +656,10 @@
         replica that hears no leader asks to join again, since it may have been replaced.
         """
         while True:
-            if self.is_empty():
+            if self.storage.failed is not None:
+                # A member that cannot store the log would take the place of one that can.
+                pass
+            elif self.is_empty():
                 await self.form_or_join()
             elif self.peers.policy.open and self.has_no_leader():
                 replies = await self.probe_peers()
