--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -85,6 +85,9 @@
     def replace(self, name, data):
         self.files[name] = bytearray(data)
 
+    def sync(self, name):
+        pass
+
     def truncate(self, name, size):
         del self.files[name][size:]
 
@@ -187,6 +190,7 @@
         self.bus = []
         self.sequence = 0
         self.partitioned_until = {}
+        self.half, self.split_until = frozenset(), 0.0
         self.held = []
         self.calls = []
         self.matched = {}
@@ -313,18 +317,21 @@
         """Deliver the messages that are due and run their receivers."""
         due = [item for item in self.bus if item[0] <= self.now]
         self.bus = [item for item in self.bus if item[0] > self.now]
-        for _, _, source, message in sorted(due, key=lambda item: item[:2]):
-            for host in self.hosts.values():
-                if host.node is None or host.node.data_id != message.target:
-                    continue
-                if self.is_partitioned(source, host.name):
-                    continue
-                host.inbox.append(message)
+        for _, _, source, addresses, message in sorted(due, key=lambda item: item[:2]):
+            for host in map(self.hosts.get, addresses):
+                if host.node is not None and not self.is_partitioned(source, host.name):
+                    host.inbox.append(message)
         for host in self.hosts.values():
             if host.inbox and host.node and self.now >= host.paused_until:
                 self.run_host(host)
 
+    def split(self, half, seconds):
+        """Cut the network between the named hosts and the others; clients reach both halves."""
+        self.half, self.split_until = frozenset(half), self.now + seconds
+
     def is_partitioned(self, one, other):
+        if self.now < self.split_until and (one in self.half) != (other in self.half):
+            return True
         return any(self.now < self.partitioned_until.get(name, 0.0) for name in (one, other))
 
     # Work of the daemon
@@ -418,7 +425,19 @@
 
     def post(self, source, message, delay):
         self.sequence += 1
-        self.bus.append((self.now + delay, self.sequence, source, message))
+        addresses = self.addresses_for(self.hosts[source], message)
+        self.bus.append((self.now + delay, self.sequence, source, addresses, message))
+
+    def addresses_for(self, host, message):
+        """Return the names of the hosts to which the daemon sends a message.
+
+        A member's address stays the same when its machine is replaced, so that a message for a
+        lost data folder reaches the replica that has its name now.
+        """
+        member = host.node.group.find(message.target)
+        if member is not None:
+            return [member.address]
+        return [name for name in self.hosts if name != host.name]
 
     def compact(self, host):
         """Save a snapshot as the daemon does, after a write in progress."""
