Walk groups through overlapping faults while a disk has everything acknowledged

Each loss requires that another disk has every acknowledged command. Confirmed reads during a walk have to show what was acknowledged before; after it, all come back, and the group has to lead with everything, answer all commands and replace all lost folders.

Each command is a publication by a trainer of its own: an older version of the same trainer changes nothing, so that its answer is no evidence of what is stored.

--- a/tests/lost_disks.py
+++ b/tests/lost_disks.py
@@ -5,8 +5,10 @@
 from attrs import define, field
 
 from apricotvale.consensus.messages import Group, HardState, Snapshot
+from apricotvale.consensus.storage import Storage
 from apricotvale.consensus.types import GroupPolicy
 from apricotvale.control import commands as c
+from apricotvale.control.state import ControlState
 from tests.replicas import Replicas
 
 REPLACE_AFTER_S = 1.5
@@ -14,37 +16,72 @@
 
 @define
 class Records:
-    """The commands sent to a group: one publication each, of a model of its own.
+    """The commands sent to a group: each the publication of a model by a trainer of its own.
 
+    :param pending: calls without an answer, by model.
     :param acknowledged: versions by model that were acknowledged.
     """
 
     group: Replicas
     sent: int = 0
+    pending: dict = field(factory=dict)
     acknowledged: dict[str, int] = field(factory=dict)
 
-    def publish(self, timeout_s):
-        """Send a command; return whether it was acknowledged in time."""
+    def send(self):
+        """Send a command; return its call."""
         self.sent += 1
         model = f"model-{self.sent}"
-        call = self.group.call(c.Publish("trainer", model, self.sent))
-        if not self.group.run_until(lambda: call.result is not None, timeout_s):
-            self.group.calls.remove(call)
-            return False
-        self.acknowledged[model] = self.sent
-        return True
+        command = c.Publish(f"trainer-{self.sent}", model, self.sent)
+        self.pending[model] = self.group.call(command)
+        return self.pending[model]
+
+    def collect(self):
+        """Record the answers that have arrived."""
+        for model, call in list(self.pending.items()):
+            if call.result is not None:
+                self.acknowledged[model] = call.result.version
+                del self.pending[model]
+                self.group.calls.remove(call)
+
+    def publish(self, timeout_s):
+        """Send a command; return whether it was acknowledged in time."""
+        call = self.send()
+        answered = self.group.run_until(lambda: call.result is not None, timeout_s)
+        self.collect()
+        return answered
 
     def missing(self, timeout_s):
         """Return what a confirmed read of the leader lacks, or None if no leader confirms one."""
+        acknowledged = dict(self.acknowledged)
         host = confirmed_leader(self.group, timeout_s)
-        if host is None:
-            return None
-        targets = host.state.rollout.state.targets
-        return {
-            model: version
-            for model, version in self.acknowledged.items()
-            if targets.get(model) != version
-        }
+        return None if host is None else missing_in(published(host.state), acknowledged)
+
+
+def published(state):
+    """Return the published versions by model."""
+    return state.rollout.state.targets
+
+
+def missing_in(versions, acknowledged):
+    """Return the acknowledged versions by model that are not among others."""
+    return {
+        model: version for model, version in acknowledged.items() if versions.get(model) != version
+    }
+
+
+def missing_on_disk(host, acknowledged):
+    """Return the acknowledged versions that are neither in the snapshot nor the log on a disk."""
+    if not host.disk.names():
+        return acknowledged
+    storage = Storage(host.disk.copy(), host.name)
+    snapshot = storage.stored.snapshot
+    state = ControlState()
+    state.restore(snapshot.state if snapshot else b"", storage.load_parts(snapshot))
+    first = snapshot.index + 1 if snapshot else 1
+    for entry in storage.stored.entries:
+        if entry.index >= first:
+            state.apply(entry)
+    return missing_in(published(state), acknowledged)
 
 
 def confirmed_leader(group, timeout_s):
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -69,6 +69,11 @@
     def names(self):
         return sorted(self.files)
 
+    def copy(self):
+        disk = MemoryDisk()
+        disk.files = {name: bytearray(content) for name, content in self.files.items()}
+        return disk
+
     def append(self, name, data):
         written_bytes = len(data)
         fault, self.next_append = self.next_append, None
