--- a/tests/test_lost_majority.py
+++ b/tests/test_lost_majority.py
@@ -132,3 +132,47 @@
     wipe(group, remaining[:1])
     assert too_few_voters_remain(group)
     check_recovery(records)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_voter_that_is_wiped_twice_gets_its_vote_with_slow_disks(seed):
+    """A folder that answered in the leader's election is lost before it has a vote."""
+    records = Records(make_group(3, True, seed, max_write_s=0.2))
+    group = records.group
+    assert records.publish(RECOVERY_S)
+    leader = group.leader()
+    wiped = other_hosts(group, leader)[0]
+    wipe(group, [wiped])
+    group.run(0.3)
+    group.crash(leader, 0.4)
+
+    def has_joined():
+        leader = group.leader()
+        return leader is not None and leader.node.group.find(wiped.node.data_id)
+
+    assert group.run_until(has_joined)
+    wipe(group, [wiped])
+    assert group.run_until(lambda: is_whole(group), CATCH_UP_S)
+
+
+def test_a_learner_leads_when_all_voters_with_a_log_are_lost():
+    """The voters of a recovered group are cut off, still empty, when its leader loses its disk."""
+    records = Records(make_group(3, True, spares=1))
+    group = records.group
+    assert records.publish(RECOVERY_S)
+    assert group.run_until(group.has_converged)
+    leader = group.leader()
+    voter_ids = leader.node.group.voters()
+    voters = [host for host in other_hosts(group, leader) if host.node.data_id in voter_ids]
+    spare = next(host for host in other_hosts(group, leader) if host not in voters)
+    wipe(group, voters)
+    assert group.run_until(lambda: group.leader() is None)
+    assert group.run_until(lambda: group.leader() is not None)
+    leader = group.leader()
+    for host in voters:
+        group.partitioned_until[host.name] = group.now + 1.0
+    assert leader is not spare
+    assert group.run_until(lambda: spare.node.group == leader.node.group)
+    wipe(group, [leader])
+    group.run(1.0)
+    check_recovery(records)
