--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -654,13 +654,16 @@
         )
 
     def on_install_request(self, request: InstallRequest, now: float) -> None:
-        """Replace the log with the leader's snapshot if it is ahead of the commit index."""
+        """Replace the log with the leader's snapshot, unless the log leads to it."""
         if request.term < self.term:
             self.reply_append(request, False, self.log.last_index)
             return
         self.accept_leader(request.term, request.source, "", now)
         snapshot = request.snapshot
-        if snapshot.index > self.commit_index:
+        if self.log.term_at(snapshot.index) == snapshot.term:
+            # The request is late: the log leads to the snapshot and may go on beyond it.
+            self.commit_index = max(self.commit_index, snapshot.index)
+        elif snapshot.index > self.commit_index:
             self.log.reset(snapshot)
             self.groups = [(snapshot.index, snapshot.group)]
             self.commit_index = snapshot.index
