Add a folder that answered in an election to the group only once

A voter that lost its disk twice got no vote any more and the log grew by an entry each round trip.

Cause: the leader kept the folders that had answered in its election and added them again whenever they were no members. A folder that was itself lost and replaced was added in place of its successor, without end.

Change: an answer is used once, and not if another folder of that name is a member already.

--- a/src/apricotvale/consensus/messages.py
+++ b/src/apricotvale/consensus/messages.py
@@ -68,6 +68,10 @@
         """Return the member with this data id, or None."""
         return next((member for member in self.members if member.data_id == data_id), None)
 
+    def has_other(self, member: GroupMember) -> bool:
+        """Return whether another member has the same name."""
+        return any(m.name == member.name and m != member for m in self.members)
+
     def predecessors(self, data_id: str) -> list[str]:
         """Return the data ids of the earlier members with the name of a member."""
         own = self.find(data_id)
--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -705,9 +705,10 @@
         if not self.can_change_group():
             return
         view = self.membership_view(now)
-        for lost, successor in self.successors.items():
+        while self.successors:
+            lost, successor = self.successors.popitem()
             member = self.group.find(lost)
-            if member is not None and self.group.find(successor) is None:
+            if member is not None and not self.group.has_other(member):
                 request = JoinRequest(successor, self.data_id, member.name, member.address)
                 group = membership.group_after_join(request, view)
                 if group is not None:
