Let a learner recover a group whose remaining voters are empty

What callers saw: a recovered group that lost its leader before the empty voters had caught up had no leader any more, although a learner had everything.

Cause: empty voters counted as a majority that is left. They never begin an election, since they know no group.

Change: a vote says whether its source holds a log; only voters that do count as left. As before every member has to grant its vote or be answered for, which is what makes a recovery safe.

--- a/src/apricotvale/consensus/messages.py
+++ b/src/apricotvale/consensus/messages.py
@@ -145,6 +145,7 @@
 
     :param lost: data id of the request's target if that data folder is lost and the source, which
         has the same name, answers in its place.
+    :param has_log: whether the source holds a log, so that it may lead.
     """
 
     source: str
@@ -153,6 +154,7 @@
     granted: bool
     pre: bool = False
     lost: str = ""
+    has_log: bool = True
 
 
 @define
--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -101,6 +101,8 @@
         self.votes: set[str] = set()
         # Data ids of the successors that granted their votes, by the lost data id.
         self.successors: dict[str, str] = {}
+        # Members that granted their votes and hold no log, so that they cannot lead.
+        self.empty_members: set[str] = set()
         self.pre_voting = False
         self.election_attempts = 0
         self.progress: dict[str, Progress] = {}
@@ -162,6 +164,7 @@
         self.pre_voting = False
         self.votes = set()
         self.successors = {}
+        self.empty_members = set()
         self.progress = {}
         self.ready.failed_reads += self.queued_reads
         self.ready.failed_reads += [ticket for ticket, _, _ in self.unconfirmed_reads]
@@ -250,6 +253,7 @@
         if not pre:
             self.set_hard_state(HardState(term, self.data_id))
         self.votes = {self.data_id}
+        self.empty_members = set()
         self.successors = {
             data_id: self.data_id for data_id in self.group.predecessors(self.data_id)
         }
@@ -302,13 +306,13 @@
         while the leader is frozen. The remaining voters are then fewer than a majority for good,
         although they hold everything that was committed.
 
-        The data folders of so many voters have to be lost that no majority is left, and every
-        member has to grant its vote, or its successor in its place. Each data folder that exists
-        is then at most as up to date as this replica's. A member that does not answer, since it
-        is cut off or down, may hold more.
+        So many voters have to be lost or empty that no majority can elect one of its own, and
+        every member has to grant its vote, or its successor in its place. Each data folder that
+        exists is then at most as up to date as this replica's. A member that does not answer,
+        since it is cut off or down, may hold more.
         """
-        voters = set(self.group.voters())
-        if len(voters - self.successors.keys()) >= self.group.quorum():
+        voters_with_log = set(self.group.voters()) - self.successors.keys() - self.empty_members
+        if len(voters_with_log) >= self.group.quorum():
             return False
         members = {member.data_id for member in self.group.members}
         return members <= self.votes | self.successors.keys()
@@ -376,7 +380,10 @@
         """Reply with the request's term if the vote is granted, else with this replica's term."""
         term = request.term if granted else self.term
         lost = request.target if request.target != self.data_id else ""
-        self.send(VoteReply(self.data_id, request.source, term, granted, request.pre, lost))
+        has_log = self.log.last_index > 0
+        self.send(
+            VoteReply(self.data_id, request.source, term, granted, request.pre, lost, has_log)
+        )
 
     def on_vote_reply(self, reply: VoteReply, now: float) -> None:
         """Count a granted vote; step down if a refusal carries a newer term.
@@ -396,6 +403,8 @@
             self.successors[reply.lost] = reply.source
         else:
             self.votes.add(reply.source)
+            if not reply.has_log:
+                self.empty_members.add(reply.source)
         self.count_votes(now)
 
     def on_campaign_request(self, request: CampaignRequest, now: float) -> None:
