Let a replica of a fixed group that is no member ask to join

What callers saw: nothing; the group had one voter less for good, and nothing said so.

It was not empty any more and no member either, and in a group with a fixed table of names only empty replicas asked to join.

Change: a replica that the group it knows does not include asks to join while it hears no leader, whatever the policy. Closed groups also log no-leader now.

--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -661,12 +661,11 @@
                 pass
             elif self.is_empty():
                 await self.form_or_join()
-            elif self.peers.policy.open and self.has_no_leader():
+            elif self.has_no_leader():
                 replies = await self.probe_peers()
                 self.log_missing_leader(replies)
-                await self.ask_to_join(replies)
-            elif not self.peers.policy.open:
-                return
+                if self.peers.policy.open or not self.is_member():
+                    await self.ask_to_join(replies)
             await asyncio.sleep(self.probe_interval_s())
 
     def probe_interval_s(self) -> float:
@@ -680,6 +679,10 @@
             return PROBE_INTERVAL_S
         return SPARE_PROBE_INTERVAL_S * (0.5 + random.random())
 
+    def is_member(self) -> bool:
+        """Return whether the group that this replica knows includes it."""
+        return self.node.group.find(self.node.data_id) is not None
+
     def has_no_leader(self) -> bool:
         """Return whether the replica neither leads nor has heard a leader recently."""
         node = self.node
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -287,7 +287,8 @@
         leaderless = (
             host.node.role is not Role.LEADER and self.now > host.node.leader_heard_at + 1.0
         )
-        if empty or (self.policy is not None and leaderless):
+        is_member = host.node.group.find(host.node.data_id) is not None
+        if empty or (leaderless and (self.policy is not None or not is_member)):
             for peer in self.hosts.values():
                 if peer is host or self.is_partitioned(host.name, peer.name):
                     continue
--- a/tests/test_missing_leader.py
+++ b/tests/test_missing_leader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from apricotvale import events
@@ -11,7 +13,7 @@
 from apricotvale.consensus.types import GroupPolicy, Timing
 from apricotvale.control.calls import CONTROL
 from apricotvale.control.state import ControlState
-from apricotvale.daemons.peers import Peers
+from apricotvale.daemons.peers import Peers, fixed_peers
 from apricotvale.daemons.replica import Replica
 from tests.replicas import MemoryDisk
 
@@ -44,3 +46,25 @@
     assert [fields["voters"] for fields in logged] == [standing]
     replica.log_missing_leader([*replies, ProbeReply("c", "c-folder", False, address="c:1")])
     assert logged[-1]["voters"]["c-folder"] == "c answers"
+
+
+async def test_a_replica_of_a_closed_group_that_is_no_member_asks_to_join():
+    """The change that made it a member was taken back after it had installed a snapshot."""
+    storage = Storage(MemoryDisk(), "b")
+    addresses = {"a": "127.0.0.1:1", "b": "127.0.0.1:2"}
+    group = Group(tuple(GroupMember(n, f"{n}-folder", addresses[n]) for n in "ab"))
+    storage.save_snapshot(Snapshot(1, 1, 0, group, b""), HardState(1), [])
+    storage.stored = storage.load()
+    peers = fixed_peers("b", addresses, CONTROL)
+    replica = Replica(peers, storage, Timing(), lambda: None, ControlState())
+    asked = asyncio.Event()
+
+    async def ask_to_join(replies):
+        asked.set()
+
+    replica.ask_to_join = ask_to_join
+    task = asyncio.create_task(replica.run())
+    async with asyncio.timeout(10.0):
+        await asked.wait()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
