Hold a recovery only in its own terms, and let a replica of a member's name recover

What callers saw: nothing; both were found in a review of the recovery election.

An election that was begun by a majority of pre-votes turned into a recovery when the election itself was answered by successors. Its term was an ordinary one, in which lost voters may have voted, so that a late message of a lost leader could pass for one of the new leader's. A replica that has the name of a member, whose predecessor it is, may now recover the group.

Safe for the reason of any recovery: every member's folder, or the one in its place, has granted its vote.

--- a/src/apricotvale/consensus/messages.py
+++ b/src/apricotvale/consensus/messages.py
@@ -72,11 +72,14 @@
         """Return whether another member has the same name."""
         return any(m.name == member.name and m != member for m in self.members)
 
-    def predecessors(self, data_id: str) -> list[str]:
-        """Return the data ids of the earlier members with the name of a member."""
+    def predecessors(self, data_id: str, name: str) -> list[str]:
+        """Return the data ids of the members that a replica replaces by its name.
+
+        :param data_id: the replica's data id; members that joined after it are not replaced.
+        """
         own = self.find(data_id)
-        earlier = self.members[: self.members.index(own)] if own else ()
-        return [m.data_id for m in earlier if own is not None and m.name == own.name]
+        earlier = self.members[: self.members.index(own)] if own else self.members
+        return [member.data_id for member in earlier if member.name == name != ""]
 
     def quorum(self) -> int:
         """Return the number of voters in a majority."""
--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -104,6 +104,7 @@
         # Members that granted their votes and hold no log, so that they cannot lead.
         self.empty_members: set[str] = set()
         self.pre_voting = False
+        self.recovering = False
         self.election_attempts = 0
         self.progress: dict[str, Progress] = {}
         self.sequence = 0
@@ -226,7 +227,8 @@
     ) -> None:
         """Start a pre-vote or an election and request votes from the other members.
 
-        The votes of learners, and a learner's own election, count only in a recovery.
+        The votes of learners count only in a recovery, and so does an election of a learner or of
+        a replica that only has the name of a member.
 
         A retry after a split vote comes sooner than the first attempt: the leader is already
         known to be silent, and the pre-vote prevents the disruption of an active one. The wait
@@ -242,10 +244,12 @@
             self.election_attempts += 1
             wait *= min(MAX_ELECTION_BACKOFF_FACTOR, self.election_attempts)
         self.election_at = now + self.timing.election_timeout_s * wait
-        if self.group.find(self.data_id) is None:
+        has_own_name = any(member.name == self.name != "" for member in self.group.members)
+        if self.group.find(self.data_id) is None and not has_own_name:
             return
         self.leader_id = ""
         self.pre_voting = pre
+        self.recovering = recovery
         self.role = Role.FOLLOWER if pre else Role.CANDIDATE
         term = self.term + 1
         if recovery:
@@ -255,7 +259,7 @@
         self.votes = {self.data_id}
         self.empty_members = set()
         self.successors = {
-            data_id: self.data_id for data_id in self.group.predecessors(self.data_id)
+            data_id: self.data_id for data_id in self.group.predecessors(self.data_id, self.name)
         }
         log = self.log
         for member in self.group.members:
@@ -292,7 +296,9 @@
         """Start the election after a won pre-vote, or become leader after a won election."""
         granted = len(self.votes & set(self.group.voters()))
         has_majority = self.is_voter and granted >= self.group.quorum()
-        if not has_majority and not self.can_recover():
+        # An election that was not begun as a recovery has an ordinary term.
+        may_recover = self.pre_voting or self.recovering
+        if not has_majority and not (may_recover and self.can_recover()):
             return
         if self.pre_voting:
             self.campaign(now, pre=False, recovery=not has_majority)
