--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -244,8 +244,8 @@
             self.election_attempts += 1
             wait *= min(MAX_ELECTION_BACKOFF_FACTOR, self.election_attempts)
         self.election_at = now + self.timing.election_timeout_s * wait
-        has_own_name = any(member.name == self.name != "" for member in self.group.members)
-        if self.group.find(self.data_id) is None and not has_own_name:
+        predecessors = self.group.predecessors(self.data_id, self.name)
+        if self.group.find(self.data_id) is None and not predecessors:
             return
         self.leader_id = ""
         self.pre_voting = pre
@@ -258,9 +258,7 @@
             self.set_hard_state(HardState(term, self.data_id))
         self.votes = {self.data_id}
         self.empty_members = set()
-        self.successors = {
-            data_id: self.data_id for data_id in self.group.predecessors(self.data_id, self.name)
-        }
+        self.successors = dict.fromkeys(predecessors, self.data_id)
         log = self.log
         for member in self.group.members:
             if member.name == self.name:
--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -562,7 +562,11 @@
             case calls.ReadTable():
                 return calls.TableRead(self.state.table.version, self.state.table.document)
             case calls.ReadResults():
-                return await self.results.read(request)
+                reply = await self.results.read(request)
+                if isinstance(reply, calls.NotFound) and not self.is_current():
+                    # Leadership ended during the wait; the state may be behind that of the job.
+                    return Redirect(self.replica.leader_address())
+                return reply
             case calls.ReadItem():
                 if self.is_denied(request, request.job_id):
                     return calls.NotFound()
@@ -585,9 +589,11 @@
         """Long poll for changes of the registry and the table.
 
         With `watch.confirm` the reply is sent once a quorum has confirmed that this replica leads,
-        without waiting for changes.
+        without waiting for changes. A new leader confirms every watch: until it has applied the
+        entries of former terms, its table may be older than an accepted one.
         """
-        if watch.confirm and not await self.replica.confirm():
+        confirms = watch.confirm or not self.is_current()
+        if confirms and not await self.replica.confirm():
             return Redirect(self.replica.leader_address())
         deadline = clock.now() + watch.wait_ms / 1000
         while not self.stopping:
--- a/tests/test_disk_failure.py
+++ b/tests/test_disk_failure.py
@@ -9,7 +9,6 @@
 
 from apricotvale import clock
 from apricotvale.codec import encode
-from apricotvale.consensus.disk import FolderDisk
 from apricotvale.consensus.storage import Storage
 from apricotvale.consensus.types import Timing
 from apricotvale.control import commands as c
@@ -18,6 +17,7 @@
 from apricotvale.daemons.peers import fixed_peers
 from apricotvale.daemons.replica import LostLeadership, Replica
 from tests.platform_site import table
+from tests.refusing_disk import RefusingDisk
 from tests.replicas import MemoryDisk
 
 TIMEOUT_S = 10.0
@@ -92,24 +92,6 @@
     assert Storage(disk, "a").stored.entries == replica.node.log.entries
 
 
-class RefusingDisk(FolderDisk):
-    """A disk that refuses writes while `refuses` is set."""
-
-    refuses = False
-
-    def append(self, name, data):
-        self.check()
-        super().append(name, data)
-
-    def replace(self, name, data):
-        self.check()
-        super().replace(name, data)
-
-    def check(self):
-        if self.refuses:
-            raise OSError(errno.ENOSPC, "no space left on device")
-
-
 async def test_a_group_bears_a_loss_after_the_disk_of_a_member_has_refused_writes(site):
     leader = next(n for n, control in enumerate(site.controls) if control.replica.leads)
     failing, third = (n for n in range(3) if n != leader)
