Add failing tests of tables that come late and of processes that end by themselves

Each meaning of "a confirmed change was not in force" was tried by itself, with real processes or sockets.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,7 +14,7 @@
 MAX_WORKERS = 5
 # Tests of these files start processes of their own, or need a quiet machine for their time limits.
 # They run one after the other in the same worker.
-PROCESS_FILES = ("test_demo.py", "test_processes.py")
+PROCESS_FILES = ("test_demo.py", "test_processes.py", "test_start_signals.py")
 
 PROGRAMMING_ERRORS = (TypeError, AttributeError, NameError, LookupError)
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -22,6 +22,9 @@
 # Longer than 200 requests to two upstreams take on a busy machine, so that none ends with 504.
 DEADLINE_MS = 10_000
 READY_TIMEOUT_S = 15.0
+# Keeps an entry running for longer than the requests on the kept connections take.
+LONG_REQUEST_S = 5.0
+KEPT_CONNECTIONS = 8
 
 
 @pytest.fixture
@@ -153,6 +156,47 @@
     assert outcomes == {200: 20, "told": 20}
 
 
+async def test_a_stopping_entry_follows_control_until_its_requests_are_answered(site, entry):
+    """Guards against requests on kept connections that an old table handles.
+
+    A request that takes long keeps the entry running after the balancer has removed it.
+    """
+    outcomes = Counter()
+    host, port = entry.address.split(":")
+    kept = [await asyncio.open_connection(host, int(port)) for _ in range(KEPT_CONNECTIONS)]
+    for desk in site.desks:
+        desk.behaviour, desk.slow_s = "slow", LONG_REQUEST_S
+    caller = asyncio.create_task(call_until_closed(entry, 1, outcomes, False))
+    # A second copy goes to the other upstream.
+    await site.wait_until(desk_requests(site), lambda count: count == len(site.desks))
+    for desk in site.desks:
+        desk.behaviour = "good"
+    entry.stop.set()
+    await asyncio.sleep(BALANCER_REMOVAL_S + 0.2)
+    document = table(3)
+    document["routes"].append({**document["routes"][0], "name": "new", "path_prefix": "/new/"})
+    await site.put_table_until_accepted(document)
+    statuses = []
+    for reader, writer in kept:
+        head = f"POST /new/1 HTTP/1.1\r\nHost: {HOST}\r\n{names.REQUEST_ID}: new\r\n"
+        writer.write(f"{head}{names.DEADLINE_MS}: 1500\r\nContent-Length: 1\r\n\r\nx".encode())
+        statuses.append((await read_answer(reader))[0])
+        writer.close()
+        if statuses[-1] == 200:
+            break
+        await asyncio.sleep(0.2)
+    assert statuses[-1] == 200, statuses
+    await caller
+    assert outcomes == {200: 1, "told": 1}
+
+
+def desk_requests(site):
+    async def count():
+        return sum(len(desk.requests) for desk in site.desks)
+
+    return count
+
+
 async def test_new_connections_are_served_until_the_balancer_has_removed_the_entry(site, entry):
     entry.stop.set()
     await asyncio.sleep(0.1)
