Find the leader although a replica names a former one

What callers saw: an entry keeps an old table, and control calls end without an answer, while the group has a leader that answers.

Cause: after a failed attempt the client asks the address that follows the failed one. If a replica names a former leader, this is again the replica that named it, if it is next in order: the two are asked by turns, the former leader for 1.6 s each time, and no other. A learner that no leader reaches and a replica whose disk has failed name the leader that they followed last for as long as they run; a voter does so until its election time-out.

Change: the search goes on in the order of the addresses, not from an address that a replica named. An address that has not answered in time is asked again once another replica names it too, so that a leader of which one reply came late is found after one more call.

Ruled out as a course on three VMs with one lost at a time: there the third replica follows the new leader, and names it.

--- a/src/apricotvale/daemons/leader_client.py
+++ b/src/apricotvale/daemons/leader_client.py
@@ -29,6 +29,8 @@
         self.interface = interface
         self.clients: dict[str, RpcClient] = {}
         self.current_address = addresses[0]
+        # The last address that was asked in its turn, and not because a replica named it.
+        self.searched_address = addresses[0]
 
     async def call(
         self, request: Any, deadline: float, attempt_timeout_s: float = ATTEMPT_TIMEOUT_S
@@ -39,6 +41,7 @@
         :param deadline: on the monotonic clock, in seconds.
         :param attempt_timeout_s: time limit of the attempt at one replica, in seconds.
         """
+        silent: set[str] = set()
         while True:
             remaining = deadline - time.monotonic()
             if remaining <= 0:
@@ -47,25 +50,45 @@
                     "no control leader answered before the deadline",
                     RETRY_AFTER_S,
                 )
+            address = self.current_address
             try:
-                reply = await self.client(self.current_address).call(
-                    request, min(remaining, attempt_timeout_s)
-                )
+                reply = await self.client(address).call(request, min(remaining, attempt_timeout_s))
             except asyncio.CancelledError:
                 raise
             except EncodingError as error:
                 return not_run(Reason.BAD_REQUEST, error.format_message())
-            except Exception:
-                self.disconnect(self.current_address)
-                self.current_address = self.next_address(self.current_address)
+            except Exception as error:
+                self.disconnect(address)
+                if isinstance(error, TimeoutError):
+                    silent.add(address)
+                self.search_on(silent)
                 await asyncio.sleep(min(RETRY_PAUSE_S, max(0.0, remaining)))
                 continue
             if isinstance(reply, Redirect):
-                self.current_address = reply.address or self.next_address(self.current_address)
+                if reply.address and reply.address not in silent:
+                    self.current_address = reply.address
+                else:
+                    # Another replica that names the same address knows it better.
+                    silent.discard(reply.address)
+                    self.search_on(silent)
                 await asyncio.sleep(RETRY_PAUSE_S)
             elif not isinstance(reply, Unconfirmed):
                 return reply
 
+    def search_on(self, silent: set[str]) -> None:
+        """Ask the next address that is neither the current one nor silent.
+
+        The order does not start anew at an address that a replica named. Otherwise a replica that
+        goes on naming a former leader, which does not answer, would be asked again and again.
+
+        :param silent: addresses that have not answered an attempt of this call in time.
+        """
+        for _ in self.addresses:
+            self.searched_address = self.next_address(self.searched_address)
+            if self.searched_address not in silent | {self.current_address}:
+                break
+        self.current_address = self.searched_address
+
     def now(self) -> float:
         """Return the current time on the clock of call deadlines, in seconds."""
         return time.monotonic()
