Follow control until a stopping entry has answered its last request

What callers saw: while an entry stops, a request on a kept connection is answered 404 for a route that was added, or is handled as a replaced table says.

Cause: the watch of control ended when the socket for new connections was closed, 3.2 s after SIGTERM. An entry with a request in flight runs for up to 4.1 s more and still handles what callers send on the connections that they keep.

Change: the entry closes the socket and finishes its requests inside the scope of the tasks that follow control, so that they end last.

--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager, nullcontext
 from typing import Any
 
@@ -208,8 +208,16 @@
             return page
         return await self.call_control(evolve(request, wait_ms=0), request.job_id)
 
-    async def run(self, stop: asyncio.Event) -> None:
-        """Follow control until `stop` is set, then serve until the balancer removes the entry."""
+    async def run(
+        self, stop: asyncio.Event, stop_accepting: Callable[[], Awaitable[None]] | None = None
+    ) -> None:
+        """Follow control and serve until `stop` is set, then finish the requests.
+
+        Connections are accepted until the balancer has removed the entry. Control is followed until
+        the last request is answered: a caller that keeps its connection may send one until then.
+
+        :param stop_accepting: closes the socket on which the entry accepts connections.
+        """
         async with (
             TaskGroup() as tasks,
             self.leaving.tasks,
@@ -223,6 +231,9 @@
             await wait_until_stopped(stop, *needed)
             self.stopping = True
             await asyncio.sleep(BALANCER_REMOVAL_S)
+            if stop_accepting is not None:
+                await stop_accepting()
+            await self.finish_requests()
 
     async def finish_requests(self) -> None:
         """Wait until no request is in flight, within the rest of `settings.stop_s`.
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -43,9 +43,7 @@
         events.emit(events.STARTED, listen=settings.requests)
         metrics.record_start()
         install_reload_handler(lambda: reload(entry.apply_settings))
-        await entry.run(stop)
-        await server.stop_accepting()
-        await entry.finish_requests()
+        await entry.run(stop, server.stop_accepting)
         entry.close()
     events.emit(events.STOPPED)
 
