Keep a reload that is asked for while a process starts

What operators saw: a process that gets SIGHUP while it starts ends by itself, as the default action of the signal is to end it.

--- a/src/apricotvale/daemons/runtime.py
+++ b/src/apricotvale/daemons/runtime.py
@@ -159,8 +159,12 @@
 
 
 def install_reload_handler(reload: Callable[[], None]) -> None:
-    """Install a SIGHUP handler, with which operators ask to reload the settings."""
+    """Install a SIGHUP handler, with which operators ask to reload the settings.
+
+    A process may block the signal until then, so that one that comes during the start is kept.
+    """
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])
 
 
 def run(main: Callable[[asyncio.Event], Awaitable[None]]) -> None:
