--- a/tests/test_table_in_force.py
+++ b/tests/test_table_in_force.py
@@ -8,12 +8,15 @@
 
 import pytest
 
+from apricotvale import clock
 from apricotvale.daemons.fleet_control import FleetControl
 from apricotvale.fleet import calls, commands
 from apricotvale.platform import names
 from tests.platform_site import HOST, READY_TIMEOUT_S, item, job, table
 
 BODY = json.dumps(table(9)).encode()
+# A watch ends after 1.6 s without a reply; the rest is room for a busy machine.
+MAX_SILENT_S = 6.0
 ROUTE_TIMEOUT_MS = 300
 # Room for a busy machine, below the other time limits that could end these requests.
 MAX_ANSWER_S = 1.8
@@ -148,6 +151,38 @@
         assert isinstance(await waiting, calls.WatchReply)
 
 
+# Entries and replicas that lose a connection or their peers
+
+
+@pytest.mark.parametrize("silent", ["watch_client", "call_client"])
+async def test_an_entry_whose_connection_to_control_goes_silent_gets_the_next_table(site, silent):
+    """Guards against a watch that waits on a connection that is open at one end only."""
+    link = site.entry.link
+    await link.call(calls.ReadTable(), clock.now() + READY_TIMEOUT_S)
+    client = getattr(link, silent)
+    client.clients[client.current_address].channel.transport.pause_reading()
+    await site.put_table_until_accepted(table(2))
+    await site.wait_until(table_of(site), lambda version: version == 2, MAX_SILENT_S)
+
+
+async def test_a_leader_that_is_cut_off_from_its_peers_serves_no_older_table(site, monkeypatch):
+    """Guards against an older table that is read or obeyed where a former leader is in reach."""
+    at, leader = next((n, c) for n, c in enumerate(site.controls) if c.replica.leads)
+    others = [n for n in range(3) if n != at]
+    monkeypatch.setattr(leader.replica, "send_messages", lambda messages: None)
+    monkeypatch.setattr(leader.replica, "receive_batch", lambda batch: None)
+
+    async def put():
+        return await site.put_table(table(2), at=others[0])
+
+    await site.wait_until(put, lambda status: status == 200)
+    for _ in range(20):
+        status, body = await site.control_call("GET", names.CONFIG_PATH, at=at)
+        assert status == 503 or json.loads(body) == table(2)
+        await asyncio.sleep(0.05)
+    await site.wait_until(table_of(site), lambda version: version == 2, MAX_SILENT_S)
+
+
 # Requests beyond the time-out of their route
 
 
