--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+import math
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager, nullcontext
 from typing import Any
 
@@ -175,12 +176,19 @@
         )
         return result
 
-    async def call_control(self, request: Any, request_id: str, wait_s: float = 0.0) -> Any:
+    async def call_control(
+        self,
+        request: Any,
+        request_id: str,
+        wait_s: float = 0.0,
+        latest: float = math.inf,
+    ) -> Any:
         """Call the control leader and return its reply, or a refusal.
 
         :param wait_s: time that a long poll may take in addition to the time-out, in seconds.
+        :param latest: when the caller must be answered, on `clock.now`, in seconds.
         """
-        deadline = clock.now() + CONTROL_CALL_TIMEOUT_S + wait_s
+        deadline = min(latest, clock.now() + CONTROL_CALL_TIMEOUT_S + wait_s)
         reply = await self.link.call(request, deadline, ATTEMPT_TIMEOUT_S + wait_s)
         if isinstance(reply, Refusal):
             events.emit(
@@ -208,8 +216,16 @@
             return page
         return await self.call_control(evolve(request, wait_ms=0), request.job_id)
 
-    async def run(self, stop: asyncio.Event) -> None:
-        """Follow control until `stop` is set, then serve until the balancer removes the entry."""
+    async def run(
+        self, stop: asyncio.Event, stop_accepting: Callable[[], Awaitable[None]] | None = None
+    ) -> None:
+        """Follow control and serve until `stop` is set, then finish the requests.
+
+        Connections are accepted until the balancer has removed the entry. Control is followed until
+        the last request is answered: a caller that keeps its connection may send one until then.
+
+        :param stop_accepting: closes the socket on which the entry accepts connections.
+        """
         async with (
             TaskGroup() as tasks,
             self.leaving.tasks,
@@ -223,6 +239,9 @@
             await wait_until_stopped(stop, *needed)
             self.stopping = True
             await asyncio.sleep(BALANCER_REMOVAL_S)
+            if stop_accepting is not None:
+                await stop_accepting()
+            await self.finish_requests()
 
     async def finish_requests(self) -> None:
         """Wait until no request is in flight, within the rest of `settings.stop_s`.
