Let an election wait as long as its pre-vote has shown votes to take

Six recoveries in a row were given up before their votes arrived.

Change: an election waits at least twice the time that its pre-vote took, two election timeouts at most, since a pre-vote also takes long while the other voters are down.

--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -44,6 +44,12 @@
 # timeout: after a restart of all replicas there is no leader and callers are waiting.
 STARTUP_TIMEOUT_MIN_FACTOR = 0.3
 STARTUP_TIMEOUT_JITTER_FACTOR = 0.4
+# An election waits for its votes at least this many times as long as the pre-vote took. Without
+# it, candidates whose votes arrive slowly start one election after the other.
+VOTE_WAIT_FACTOR = 2.0
+# Upper bound of that wait, as a multiple of `Timing.election_timeout_s`: a pre-vote also takes long
+# because the other voters are down.
+MAX_VOTE_WAIT_FACTOR = 2.0
 # Range of the random wait after the leader's process was found to be gone. A few round trips are
 # enough for one candidate to win before the next one starts.
 LEADER_DOWN_JITTER_FACTOR = 0.15
@@ -105,6 +111,8 @@
         self.empty_members: set[str] = set()
         self.pre_voting = False
         self.recovering = False
+        # When the first of the pre-votes began that have not been won or ended since.
+        self.pre_vote_at = now
         self.election_attempts = 0
         self.progress: dict[str, Progress] = {}
         self.sequence = 0
@@ -243,7 +251,13 @@
         if not pre:
             self.election_attempts += 1
             wait *= min(MAX_ELECTION_BACKOFF_FACTOR, self.election_attempts)
-        self.election_at = now + self.timing.election_timeout_s * wait
+        wait_s = self.timing.election_timeout_s * wait
+        if not pre:
+            slowest_s = MAX_VOTE_WAIT_FACTOR * self.timing.election_timeout_s
+            wait_s = max(wait_s, min(slowest_s, VOTE_WAIT_FACTOR * (now - self.pre_vote_at)))
+        elif not self.pre_voting:
+            self.pre_vote_at = now
+        self.election_at = now + wait_s
         predecessors = self.group.predecessors(self.data_id, self.name)
         if self.group.find(self.data_id) is None and not predecessors:
             return
