Let a replica that has not joined recover a closed group only

What callers saw: nothing; found by a walk in a review of the recovery election.

In an open group, another name may have joined since.

In an open group such a replica blocks the recovery again, as before, if all others are empty or behind.

--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -235,8 +235,8 @@
     ) -> None:
         """Start a pre-vote or an election and request votes from the other members.
 
-        The votes of learners count only in a recovery, and so does an election of a learner or of
-        a replica that only has the name of a member.
+        The votes of learners count only in a recovery, and so does an election of a learner or, in
+        a closed group, of a replica that only has the name of a member.
 
         A retry after a split vote comes sooner than the first attempt: the leader is already
         known to be silent, and the pre-vote prevents the disruption of an active one. The wait
@@ -259,7 +259,9 @@
             self.pre_vote_at = now
         self.election_at = now + wait_s
         predecessors = self.group.predecessors(self.data_id, self.name)
-        if self.group.find(self.data_id) is None and not predecessors:
+        # An open group may have accepted members that a replica that has not joined cannot know.
+        may_recover = bool(predecessors) and not self.policy.open
+        if self.group.find(self.data_id) is None and not may_recover:
             return
         self.leader_id = ""
         self.pre_voting = pre
