--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -408,11 +408,21 @@
         if ready.records:
             await self.write_records(ready.records)
         self.send_messages(ready.messages_after_sync)
-        if (
+        if self.is_snapshot_due():
+            await self.save_snapshot()
+
+    def is_snapshot_due(self) -> bool:
+        """Return whether to save a snapshot of the own state.
+
+        A leader's snapshot that arrived during a write is installed first: the log already ends
+        with it, and the state is still the old one.
+        """
+        if self.node.ready.snapshot is not None:
+            return False
+        return (
             self.applied_bytes > SNAPSHOT_AFTER_BYTES
             or self.applied_entries > SNAPSHOT_AFTER_ENTRIES
-        ):
-            await self.save_snapshot()
+        )
 
     async def write_records(self, records: list[Record]) -> None:
         """Persist records, and meanwhile process what does not depend on them.
