Refuse a segment whose first records are damaged

A segment that replaces others is synced before it is renamed into place, so no loss of power tears the records that it begins with: hard state and kept entries. Damage in the last of them was taken for a torn append, and acknowledged entries were dropped without a word. The folder is now refused, as for damage elsewhere.

--- a/src/apricotvale/consensus/storage.py
+++ b/src/apricotvale/consensus/storage.py
@@ -27,6 +27,8 @@
 SNAPSHOT_FILE = "snapshot"
 SEGMENT_PREFIX = "segment-"
 PART_PREFIX = "part-"
+# Hard state, truncation and kept entries, which a segment that replaces others begins with.
+FIRST_RECORDS = 3
 
 
 class Disk(Protocol):
@@ -265,7 +267,9 @@
         records = [record for body in bodies for record in records_in(body)]
         if end == len(data):
             return records
-        if not is_last or holds_record_after(data, end):
+        # The first records of a later segment were synced before it got its name.
+        begins_torn = name != f"{SEGMENT_PREFIX}{0:010d}" and len(bodies) < FIRST_RECORDS
+        if not is_last or begins_torn or holds_record_after(data, end):
             raise DataFolderError(f"{name} is damaged at byte {end}; empty the folder to rejoin")
         self.disk.truncate(name, end)
         return records
--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -368,6 +368,20 @@
         assert bytes(files.names[SEGMENT].content) == bytes(damaged)
 
 
+def test_damage_in_the_records_that_a_segment_begins_with_is_refused(simulate):
+    """They were synced before the segment got its name, so that no loss of power tears them."""
+    files = simulate(0)
+    replica = replica_with_log(files, 3)
+    replica.save(Snapshot(1, 1, 0, Group(), b"own"), list(replica.view.entries))
+    segment = files.names["segment-0000000001"]
+    sound = bytes(segment.content)
+    for at in range(len(sound)):
+        segment.content = bytearray(sound)
+        segment.content[at] ^= 0xFF
+        with pytest.raises(DataFolderError):
+            Storage(FolderDisk(FOLDER), "a")
+
+
 def test_zeros_after_the_last_append_are_truncated(simulate):
     files = simulate(0)
     replica = replica_with_log(files, 3)
