Name what is wrong with the data folder or the disk when a control replica starts

On the platform, a control replica with a damaged folder ended with a traceback and exit code 1, while the operators' page says code 3; a disk that refuses syncs at the start ended it with a bare OSError.

main() of the platform now prints the error and ends with its code, as the command line does, and Storage turns a failed read, write or sync of the start into a DiskError. Both tests failed before.

--- a/src/apricotvale/consensus/storage.py
+++ b/src/apricotvale/consensus/storage.py
@@ -147,6 +147,7 @@
     may not be on disk.
 
     :raises DataFolderError: if the folder is damaged or incomplete.
+    :raises DiskError: if the disk fails.
     :raises DataFormatError: if a newer version wrote the folder.
     :raises IdentityError: if the folder belongs to another replica.
     """
@@ -154,13 +155,16 @@
     def __init__(self, disk: Disk, name: str) -> None:
         self.disk = disk
         self.failed: DiskError | None = None
-        self.meta = self.load_meta(name)
         self.segment = 0
-        self.part_names = {name for name in disk.names() if name.startswith(PART_PREFIX)}
-        self.stored = self.load()
-        if self.meta.format_version < FORMAT_VERSION:
-            self.meta = evolve(self.meta, format_version=FORMAT_VERSION)
-            self.disk.replace(META_FILE, frame(encode(self.meta, Meta)))
+        try:
+            self.meta = self.load_meta(name)
+            self.part_names = {name for name in disk.names() if name.startswith(PART_PREFIX)}
+            self.stored = self.load()
+            if self.meta.format_version < FORMAT_VERSION:
+                self.meta = evolve(self.meta, format_version=FORMAT_VERSION)
+                self.disk.replace(META_FILE, frame(encode(self.meta, Meta)))
+        except OSError as error:
+            raise self.fail(error) from error
 
     def load_meta(self, name: str) -> Meta:
         """Read the folder's identity, or create one if the folder is empty."""
@@ -300,6 +304,16 @@
         except OSError as error:
             raise self.fail(error) from error
 
+    def rewrite(self) -> None:
+        """Write the loaded log to a new segment.
+
+        :raises DiskError: if the disk fails.
+        """
+        try:
+            self.start_segment(self.stored.hard_state, self.stored.entries)
+        except OSError as error:
+            raise self.fail(error) from error
+
     def start_segment(self, hard_state: HardState, kept: list[Entry]) -> None:
         """Write a new segment that replaces all others, and remove these."""
         records: list[Record] = [hard_state, TruncateRecord(0), EntriesRecord(kept)]
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -292,8 +292,8 @@
             await self.reject_until(clock.now() + DISK_RETRY_S)
             try:
                 storage = await self.run_on_disk(self.load_again)
-            except OSError as error:
-                events.emit(events.DISK_FAILED, detail=str(error), code=error.errno or 0)
+            except DiskError as error:
+                events.emit(events.DISK_FAILED, detail=str(error), code=error.code)
                 continue
             break
         self.storage = storage
@@ -308,10 +308,10 @@
         After a failed sync, data that is not on the disk can still be read, and another sync
         succeeds without writing it.
 
-        :raises OSError: if the disk still fails.
+        :raises DiskError: if the disk still fails.
         """
         storage = Storage(self.storage.disk, self.name)
-        storage.start_segment(storage.stored.hard_state, storage.stored.entries)
+        storage.rewrite()
         return storage
 
     async def process_events(self) -> None:
--- a/src/apricotvale/exceptions.py
+++ b/src/apricotvale/exceptions.py
@@ -82,13 +82,13 @@
 
 
 class DiskError(StorageError):
-    """A failed write or sync, after which the replica no longer votes.
+    """A failed read, write or sync, after which the replica no longer votes.
 
     :param code: errno of the failure, 0 if it has none.
     """
 
     def __init__(self, detail: str, code: int) -> None:
-        super().__init__(f"disk write or sync failed (errno {code}): {detail}")
+        super().__init__(f"disk read, write or sync failed (errno {code}): {detail}")
         self.code = code
 
 
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -108,9 +108,9 @@
     role = ROLES[sys.argv[1]]
     try:
         settings = load_fleet(Path(os.environ[SETTINGS_VARIABLE]))
+        mechanisms.disable(settings.disabled)
+        configure_bounded(settings.name, settings.log_level)
+        run(lambda stop: run_role(role, settings, stop))
     except ApricotvaleError as error:
         sys.stderr.write(f"Error: {error.format_message()}\n")
         sys.exit(error.exit_code)
-    mechanisms.disable(settings.disabled)
-    configure_bounded(settings.name, settings.log_level)
-    run(lambda stop: run_role(role, settings, stop))
--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -430,3 +430,11 @@
     files.lose_power("all")
     replica.start()
     assert replica.view == view
+
+
+def test_a_disk_that_refuses_syncs_at_the_start_is_named(simulate):
+    files = simulate(0)
+    replica_with_log(files, 3)
+    files.refuses_syncs = True
+    with pytest.raises(DiskError):
+        Storage(FolderDisk(FOLDER), "a")
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import json
+import os
 import shutil
 import signal
 import subprocess
+import sys
 import time
 import urllib.error
 import urllib.request
 
 import pytest
 
+from apricotvale.consensus.disk import FolderDisk
+from apricotvale.consensus.messages import Group, HardState, Snapshot
+from apricotvale.consensus.storage import Storage
 from scripts.demo import COMMAND, System
 from scripts.ports import free_address
 
@@ -175,3 +180,29 @@
     result = run_cli("control", str(site.folder / f"{name}.toml"), check=False)
     assert result.returncode == 3 and "damaged" in result.stderr
     assert snapshot.read_bytes() == damaged
+
+
+def test_the_platforms_process_names_a_damaged_data_folder(tmp_path, examples):
+    """Guards against a traceback, and the code of any other error, in place of what is wrong."""
+    folder, settings = tmp_path / "data", tmp_path / "settings"
+    disk = FolderDisk(folder)
+    Storage(disk, "a").save_snapshot(Snapshot(1, 1, 0, Group(), b""), HardState(1), [])
+    disk.release()
+    snapshot = folder / "snapshot"
+    damaged = snapshot.read_bytes()[:-3]
+    snapshot.write_bytes(damaged)
+    address = free_address()
+    settings.write_text(
+        f'name = "a"\nsite = "a"\nip = "127.0.0.1"\ncontacts = ["{address}"]\n'
+        f'internal_port = {address.split(":")[1]}\ninterface = "{free_address()}"\n'
+        f'data_folder = "{folder}"\n'
+    )
+    result = subprocess.run(
+        [sys.executable, examples.parent / "deploy" / "start.py", "control"],
+        env={**os.environ, "APRICOTVALE_BOOT": str(settings)},
+        capture_output=True,
+        text=True,
+        timeout=WAIT_TIMEOUT_S,
+    )
+    assert (result.returncode, snapshot.read_bytes()) == (3, damaged)
+    assert result.stderr.startswith("Error: the snapshot file is damaged")
