--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -124,6 +124,8 @@
         self.term_start_index = 0
         # Successors by lost data id if this replica won its last election by a recovery.
         self.recovered_from: dict[str, str] = {}
+        # Set by the owner while its state must stay the same.
+        self.holds_committed = False
         self.ready = Ready()
         self.election_at = now + timing.election_timeout_s * (
             STARTUP_TIMEOUT_MIN_FACTOR + STARTUP_TIMEOUT_JITTER_FACTOR * jitter()
@@ -826,7 +828,8 @@
             self.ready.snapshot = None
         first = self.applied_index + 1
         # Entries after a snapshot can be applied once it is installed.
-        if self.commit_index >= first and waiting.snapshot is None:
+        held = self.holds_committed or waiting.snapshot is not None
+        if self.commit_index >= first and not held:
             self.ready.committed = self.log.slice(first, self.commit_index)
             self.applied_index = self.commit_index
             if self.role is Role.LEADER:
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -143,6 +143,7 @@
         self.disk_thread = ThreadPoolExecutor(1, "disk")
         self.applied_bytes = 0
         self.applied_entries = 0
+        self.replaces_parts = False
         self.fetch: asyncio.Task[None] | None = None
         self.tasks = TaskGroup()
         self.stopped = False
@@ -388,12 +389,14 @@
             self.node.receive(event, now)
 
     def has_parts(self, snapshot: Snapshot) -> bool:
-        """Return whether all parts of a snapshot are stored.
+        """Return whether all parts of a snapshot are stored and stay so.
 
-        A snapshot of this replica's own that was saved in the meantime may have removed some. The
-        leader then sends its snapshot again.
+        A snapshot of this replica's own that was saved in the meantime may have removed some, or
+        is about to. The leader then sends its snapshot again.
         """
-        return all(self.storage.has_part(part) for part in snapshot.parts)
+        return not self.replaces_parts and all(
+            self.storage.has_part(part) for part in snapshot.parts
+        )
 
     async def process_ready(self, ready: Ready) -> None:
         """Process the node's pending work.
@@ -425,24 +428,27 @@
         )
 
     async def write_records(self, records: list[Record]) -> None:
-        """Persist records, and meanwhile process what does not depend on them.
+        """Persist records, and meanwhile process what does not depend on them."""
+        last_index, last_term = self.node.log.last_index, self.node.log.last_term
+        with metrics.WRITE_SECONDS.time():
+            await self.run_beside_events(partial(self.storage.append, records))
+        self.node.synced(last_index, last_term)
+
+    async def run_beside_events(self, work: Callable[[], None]) -> None:
+        """Run a disk operation, and meanwhile process what does not depend on the disk.
 
         Load pattern: a slow disk, or little processor time for the thread that writes. A leader
         that sent no heartbeats during a write would lose its office to it.
         """
-        last_index, last_term = self.node.log.last_index, self.node.log.last_term
-        loop = asyncio.get_running_loop()
-        write = loop.run_in_executor(self.disk_thread, partial(self.storage.append, records))
+        write = asyncio.get_running_loop().run_in_executor(self.disk_thread, work)
         write.add_done_callback(lambda _: self.wake.set())
-        with metrics.WRITE_SECONDS.time():
-            while not write.done():
-                await self.wait_for_events()
-                ready = self.node.take_ready(self.handle_events(), disk_is_busy=True)
-                self.send_messages(ready.messages)
-                self.finish_committed(ready)
-                self.log_changes()
+        while not write.done():
+            await self.wait_for_events()
+            ready = self.node.take_ready(self.handle_events(), disk_is_busy=True)
+            self.send_messages(ready.messages)
+            self.finish_committed(ready)
+            self.log_changes()
         write.result()
-        self.node.synced(last_index, last_term)
 
     def finish_committed(self, ready: Ready) -> None:
         """Apply committed entries and answer reads."""
@@ -517,29 +523,34 @@
         self.on_applied()
 
     async def save_snapshot(self) -> None:
-        """Save a snapshot of the state and compact the log.
+        """Save a snapshot of the state and compact the log, unless the leader sends a newer one.
 
-        Entries are applied by the caller only, so the state stays the same while its parts are
-        encoded and written one by one.
+        Load pattern: a slow disk, and a state of many parts. Events are processed meanwhile, as
+        during a write.
         """
         node = self.node
         index = node.applied_index
         entry = node.log.slice(index, index)[0]
         group = [group for at, group in node.groups if at <= index][-1]
-        parts = []
-        written_bytes = 0
-        for part, content in self.state.dump_parts(self.storage.has_part):
-            parts.append(part)
-            if content is not None:
-                written_bytes += part.size
-                await self.run_on_disk(partial(self.storage.save_part, part, content))
+        node.holds_committed = True
+        try:
+            saved = await self.save_parts()
+        finally:
+            node.holds_committed = False
+        if saved is None:
+            return
+        parts, written_bytes = saved
         root = self.state.dump()
-        snapshot = Snapshot(index, entry.term, entry.at_ms, group, root, tuple(parts))
+        snapshot = Snapshot(index, entry.term, entry.at_ms, group, root, parts)
         entries = list(node.compact(snapshot))
-        await self.run_on_disk(
-            partial(self.storage.save_snapshot, snapshot, node.hard_state, entries)
-        )
         self.applied_bytes = self.applied_entries = 0
+        self.replaces_parts = True
+        try:
+            await self.run_beside_events(
+                partial(self.storage.save_snapshot, snapshot, node.hard_state, entries)
+            )
+        finally:
+            self.replaces_parts = False
         events.emit(
             events.SNAPSHOT_SAVED,
             index=index,
@@ -548,6 +559,34 @@
             written_bytes=written_bytes + len(root),
         )
 
+    async def save_parts(self) -> tuple[tuple[Part, ...], int] | None:
+        """Write the parts of the state; return them and the number of bytes written.
+
+        No entries are applied meanwhile, so the state stays the same while its parts are encoded
+        and written one by one. Records that are due are written after each part. Return None once
+        a snapshot of the leader has arrived.
+        """
+        parts = []
+        written_bytes = 0
+        for part, content in self.state.dump_parts(self.storage.has_part):
+            parts.append(part)
+            if content is None:
+                continue
+            written_bytes += part.size
+            await self.run_beside_events(partial(self.storage.save_part, part, content))
+            now = self.handle_events()
+            if self.node.ready.snapshot is not None:
+                return None
+            ready = self.node.take_ready(now)
+            self.send_messages(ready.messages)
+            self.finish_committed(ready)
+            if ready.records:
+                await self.write_records(ready.records)
+            self.send_messages(ready.messages_after_sync)
+            if self.node.ready.snapshot is not None:
+                return None
+        return tuple(parts), written_bytes
+
     # Parts of snapshots from the leader
 
     def start_fetch(self, request: InstallRequest) -> None:
