--- a/src/apricotvale/consensus/disk.py
+++ b/src/apricotvale/consensus/disk.py
@@ -77,7 +77,7 @@
             self.open_fd = os.open(self.folder / name, flags, 0o644)
             self.open_name = name
             self.open_size = os.fstat(self.open_fd).st_size
-            self.sync_folder()
+            self.sync_names()
         try:
             write_all(self.open_fd, data)
             os.fdatasync(self.open_fd)
@@ -89,8 +89,11 @@
             raise
         self.open_size += len(data)
 
-    def replace(self, name: str, data: bytes) -> None:
-        """Replace a file's content atomically and sync it."""
+    def replace(self, name: str, data: bytes, syncs_name: bool = True) -> None:
+        """Replace a file's content atomically and sync it.
+
+        :param syncs_name: whether the name is synced too, and not left to `sync_names`.
+        """
         self.close()
         new = self.folder / f"{name}{NEW_SUFFIX}"
         fd = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
@@ -100,7 +103,8 @@
         finally:
             os.close(fd)
         os.replace(new, self.folder / name)
-        self.sync_folder()
+        if syncs_name:
+            self.sync_names()
 
     def sync(self, name: str) -> None:
         """Sync a file, and the names of all files."""
@@ -109,7 +113,7 @@
             os.fsync(fd)
         finally:
             os.close(fd)
-        self.sync_folder()
+        self.sync_names()
 
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to `size` bytes and sync it."""
@@ -128,8 +132,8 @@
         with suppress(FileNotFoundError):
             os.unlink(self.folder / name)
 
-    def sync_folder(self) -> None:
-        """Sync the folder, which makes file creations and renames durable."""
+    def sync_names(self) -> None:
+        """Sync the folder, which makes file creations, renames and removals durable."""
         fd = os.open(self.folder, os.O_RDONLY)
         try:
             os.fsync(fd)
--- a/src/apricotvale/consensus/storage.py
+++ b/src/apricotvale/consensus/storage.py
@@ -43,8 +43,14 @@
     def append(self, name: str, data: bytes) -> None:
         """Append data to a file and sync it."""
 
-    def replace(self, name: str, data: bytes) -> None:
-        """Replace a file's content atomically and sync it."""
+    def replace(self, name: str, data: bytes, syncs_name: bool = True) -> None:
+        """Replace a file's content atomically and sync it.
+
+        :param syncs_name: whether the name is synced too, and not left to `sync_names`.
+        """
+
+    def sync_names(self) -> None:
+        """Sync the names of all files."""
 
     def sync(self, name: str) -> None:
         """Sync a file, and the names of all files."""
@@ -252,6 +258,8 @@
     def save_part(self, part: Part, content: bytes) -> None:
         """Write a part of a snapshot that is to be saved, unless the folder has it already.
 
+        Its name is synced with those of the other parts when the snapshot is saved.
+
         :raises DiskError: if the disk fails.
         """
         if self.failed:
@@ -259,7 +267,7 @@
         if self.has_part(part):
             return
         try:
-            self.disk.replace(part_name(part), content)
+            self.disk.replace(part_name(part), content, syncs_name=False)
         except OSError as error:
             raise self.fail(error) from error
         self.part_names.add(part_name(part))
@@ -296,6 +304,7 @@
         if self.failed:
             raise self.failed
         try:
+            self.disk.sync_names()
             self.disk.replace(SNAPSHOT_FILE, frame(encode(snapshot, Snapshot)))
             self.start_segment(hard_state, kept)
             for name in self.part_names - {part_name(part) for part in snapshot.parts}:
--- a/tests/refusing_disk.py
+++ b/tests/refusing_disk.py
@@ -16,9 +16,9 @@
         self.check()
         super().append(name, data)
 
-    def replace(self, name, data):
+    def replace(self, name, data, syncs_name=True):
         self.check()
-        super().replace(name, data)
+        super().replace(name, data, syncs_name)
 
     def check(self):
         if self.refuses:
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -87,9 +87,12 @@
         if fault in ("torn write", "crash after sync"):
             raise Crash
 
-    def replace(self, name, data):
+    def replace(self, name, data, syncs_name=True):
         self.files[name] = bytearray(data)
 
+    def sync_names(self):
+        pass
+
     def sync(self, name):
         pass
 
--- a/tests/test_disk_failure.py
+++ b/tests/test_disk_failure.py
@@ -32,9 +32,9 @@
         self.check()
         super().append(name, data)
 
-    def replace(self, name, data):
+    def replace(self, name, data, syncs_name=True):
         self.check()
-        super().replace(name, data)
+        super().replace(name, data, syncs_name)
 
     def sync(self, name):
         self.check()
--- a/tests/test_snapshot_during_write.py
+++ b/tests/test_snapshot_during_write.py
@@ -52,7 +52,7 @@
         self.wait(name)
         super().append(name, data)
 
-    def replace(self, name, data):
+    def replace(self, name, data, syncs_name=True):
         self.wait(name)
         super().replace(name, data)
 
