--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -34,9 +34,9 @@
     def __init__(self, play, seed, folder):
         self.play = play
         self.rng = random.Random(f"run {seed}")
-        number = seed if isinstance(seed, int) else 49_999 - list(PLAYS).index(seed)
         sync_s = self.rng.choice([0.0, 0.001, 0.005])
-        network = f"127.{20 + number // 250 % 200}.{number % 250}"
+        # Runs at the same time have different process ids, and must not reach each other.
+        network = f"127.{20 + os.getpid() // 250 % 200}.{os.getpid() % 250}"
         self.site = Site(folder, network, sync_s, Links() if play.has_links else None)
         self.callers = Callers(self.site, random.Random(f"callers {seed}"))
         self.chosen = {}
@@ -46,11 +46,10 @@
         """Return a VM by its name, or by the role that it has when it is first chosen."""
         if name in ("leader", "follower", "other"):
             if name not in self.chosen:
-                leader = self.chosen.get("leader") or self.site.leader() or "c0"
-                rest = [vm.name for vm in self.site.controls if vm.name != leader]
-                self.chosen.update(
-                    zip(("leader", "follower", "other"), (leader, *rest), strict=True)
-                )
+                names = [vm.name for vm in self.site.controls]
+                names.sort(key=lambda found: found != self.site.leader())
+                roles = ("leader", "follower", "other")
+                self.chosen = dict(zip(roles, names, strict=True))
             name = self.chosen[name]
         return next(vm for vm in self.site.vms if vm.name == name)
 
@@ -145,7 +144,7 @@
         """Return whether another disk holds everything that was accepted."""
         complete = False
         for other in self.site.controls:
-            held = other.held()
+            held = self.site.read_held(other)
             has_all = held.version >= self.callers.newest and held.jobs >= self.callers.jobs.keys()
             complete = complete or other is not vm and has_all
             self.site.note(f"at the wipe of {vm.name}: {other.name} has {held}, all {has_all}")
@@ -192,9 +191,8 @@
     async def play_final(self, faults):
         """Play the final fault right after an acknowledgement; return when all are back."""
         site, play = self.site, self.play
-        wiped, _, others = (
-            play.final.partition(", ") if "wipe" in play.final else ("", "", play.final)
-        )
+        wiped = play.final.startswith("wipe")
+        others = play.final.removeprefix("wipe").removeprefix(", ")
         acknowledged = asyncio.get_running_loop().create_future()
 
         def on_ack(kind):
@@ -232,8 +230,7 @@
                 if others == "power" and vm is not victim:
                     vm.lose_power(self.rng)
         if victim:
-            complete = self.has_copy(victim)
-            site.note(f"a complete copy is left: {complete}")
+            site.note(f"a complete copy is left: {self.has_copy(victim)}")
             victim.wipe()
         await asyncio.sleep(self.rng.uniform(0.3, 0.8))
         ended = [vm.start_up() for vm in site.vms if vm.process.poll() is not None]
@@ -252,9 +249,8 @@
             late = sum(task.done() for task in tasks)
             self.site.note(f"{late} of {len(tasks)} reads done {LATE_S} s after the deadline")
         else:
-            self.site.note(
-                f"everything read back {self.site.now() - back_at:.2f} s after all are back"
-            )
+            took_s = self.site.now() - back_at
+            self.site.note(f"everything read back {took_s:.2f} s after all are back")
         await stop(tasks)
         self.site.describe_disks("end")
 
--- a/tests/soak_disk.py
+++ b/tests/soak_disk.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import builtins
 import errno
 import itertools
 import json
@@ -66,15 +65,11 @@
             time.sleep(min(POLL_S, left_s))
 
     def open(self, path, flags, mode=0o777):
-        if flags & os.O_CREAT and not Path(path).exists():
+        is_new = flags & os.O_CREAT and not Path(path).exists()
+        if is_new or flags & os.O_TRUNC:
             self.record("create", Path(path).name)
         return os.open(path, flags, mode)
 
-    def open_file(self, path, mode):
-        if "w" in mode:
-            self.record("create", Path(path).name)
-        return builtins.open(path, mode)
-
     def fsync(self, fd):
         """Make a file or folder durable; the simulated loss of power needs no real sync."""
         state = os.fstat(fd)
@@ -91,28 +86,14 @@
         self.record("rename", source.name, target.name, self.save(target))
         os.replace(source, target)
 
+    def unlink(self, path):
+        self.record("remove", Path(path).name, self.save(Path(path)))
+        os.unlink(path)
 
-def record_disk(folder):
-    """Replace the class of data folders by one whose files are recorded."""
-    from apricotvale.consensus import disk
-
-    folder.mkdir(parents=True, exist_ok=True)
-    files = RecordedFiles(folder)
-    disk.os = files
-    disk.open = files.open_file
-
-    class RecordedDisk(disk.FolderDisk):
-        def remove(self, name):
-            kept = files.save(self.folder / name)
-            if kept:
-                files.record("remove", name, kept)
-            super().remove(name)
-
-        def truncate(self, name, size):
-            files.record("cut", name, files.save(self.folder / name, copy=True))
-            super().truncate(name, size)
-
-    disk.FolderDisk = RecordedDisk
+    def ftruncate(self, fd, size):
+        path = Path(os.readlink(f"/proc/self/fd/{fd}"))
+        self.record("cut", path.name, self.save(path, copy=True))
+        os.ftruncate(fd, size)
 
 
 def map_hosts(hosts):
@@ -134,7 +115,9 @@
     # The folder of this module has modules with the names of others, such as `site`.
     sys.path[0] = str(ROOT / "src")
     if os.environ.get("SOAK_RECORD"):
-        record_disk(Path(os.environ["SOAK_RECORD"]))
+        from apricotvale.consensus import disk
+
+        disk.os = RecordedFiles(Path(os.environ["SOAK_RECORD"]))
     if os.environ.get("SOAK_LINKS"):
         map_hosts(json.loads(os.environ["SOAK_LINKS"]))
     sys.argv[0] = str(ROOT / "deploy" / "start.py")
--- a/tests/soak_plays.py
+++ b/tests/soak_plays.py
@@ -9,19 +9,12 @@
 from tests.soak_vms import CATCH_UP_S, START_S
 
 FIRST_FAULT_S = 1.0
-CONTROL_FAULTS = {
-    "kill": 4,
-    "freeze": 5,
-    "term": 3,
-    "hup": 1,
-    "wipe": 4,
-    "power": 3,
-    "slow": 2,
-    "stall": 2,
-    "kill all": 1,
-    "power all": 1,
-}
-ENTRY_FAULTS = {"kill": 2, "freeze": 2, "term": 3, "hup": 2}
+# Kinds of faults on a control VM and on an entry, with their weights.
+CONTROL_KINDS = ["kill", "freeze", "term", "hup", "wipe", "power", "slow", "stall"]
+CONTROL_KINDS += ["kill all", "power all"]
+CONTROL_WEIGHTS = [4, 5, 3, 1, 4, 3, 2, 2, 1, 1]
+ENTRY_KINDS = ["kill", "freeze", "term", "hup"]
+ENTRY_WEIGHTS = [2, 2, 3, 2]
 # Seeds from here on have chains of wipes.
 FIRST_CHAIN = 1000
 FINALS = ["wipe, power", "wipe, kill", "power", "kill", "wipe"]
@@ -62,50 +55,29 @@
     has_links: bool = False
 
     def __str__(self):
-        how = [
-            name for name in ("waits", "settles", "after_job", "has_links") if getattr(self, name)
-        ]
+        options = ("waits", "settles", "after_job", "has_links")
         faults = "; ".join(map(str, self.faults))
-        return f"{faults}; final {self.final_at:.1f} {self.final} {self.victim} {' '.join(how)}"
+        how = " ".join(name for name in options if getattr(self, name))
+        return f"{faults}; final {self.final_at:.1f} {self.final} {self.victim} {how}"
 
 
-# An empty replica finds no leader, since the leader is frozen, before a second disk is lost.
-FROZEN_LEADER = Play(
-    (
-        Fault(2.0, "freeze", "leader", 8.0),
-        Fault(2.2, "wipe", "follower", 0.5),
-        Fault(7.8, "wipe", "other", 0.6),
+PLAYS = {
+    # An empty replica finds no leader, since the leader is frozen, before a second disk is lost.
+    "frozen-leader": Play(
+        (
+            Fault(2.0, "freeze", "leader", 8.0),
+            Fault(2.2, "wipe", "follower", 0.5),
+            Fault(7.8, "wipe", "other", 0.6),
+        ),
+        *("power", "c0", 10.0),
+        waits=True,
+        settles=True,
     ),
-    "power",
-    "c0",
-    10.0,
-    waits=True,
-    settles=True,
-)
-# The same, but the frozen leader itself loses its disk.
-LOST_LEADER = Play(
-    (
-        Fault(2.0, "freeze", "leader", 6.0),
-        Fault(2.2, "wipe", "follower", 0.5),
-        Fault(7.8, "wipe", "leader", 0.6),
+    # The disks of two VMs refuse writes for a second, one after the other.
+    "refusing-disks": Play(
+        (Fault(2.0, "refuse", "leader", 1.0), Fault(5.0, "refuse", "follower", 1.0)),
+        *("power", "c0", 9.0),
     ),
-    "power",
-    "c0",
-    10.0,
-    waits=True,
-    settles=True,
-)
-# The disks of two VMs refuse writes for a second, one after the other.
-REFUSING_DISKS = Play(
-    (Fault(2.0, "refuse", "leader", 1.0), Fault(5.0, "refuse", "follower", 1.0)),
-    "power",
-    "c0",
-    9.0,
-)
-PLAYS = {
-    "refusing-disks": REFUSING_DISKS,
-    "frozen-leader": FROZEN_LEADER,
-    "lost-leader": LOST_LEADER,
 }
 
 
@@ -116,8 +88,10 @@
     faults = []
     for _ in range(rng.randint(4, 12)):
         on_control = rng.random() < 0.8
-        kinds = CONTROL_FAULTS if on_control else ENTRY_FAULTS
-        kind = rng.choices(list(kinds), list(kinds.values()))[0]
+        kinds, weights = CONTROL_KINDS, CONTROL_WEIGHTS
+        if not on_control:
+            kinds, weights = ENTRY_KINDS, ENTRY_WEIGHTS
+        kind = rng.choices(kinds, weights)[0]
         vm = rng.choice(["c0", "c1", "c2"] if on_control else ["e0", "e1"])
         long = kind in ("freeze", "slow", "stall")
         limit_s = 6.0 if kind == "freeze" else 3.0
--- a/tests/soak_power.py
+++ b/tests/soak_power.py
@@ -75,7 +75,7 @@
             found["new name lost"] += 1
     for kind, name, *fields in reversed(changes):
         kept = fields[-1]
-        if kind == "remove" and not (data / name).exists() and is_lost():
+        if kind == "remove" and kept and not (data / name).exists() and is_lost():
             os.link(record / kept, data / name)
             found["removal lost"] += 1
         elif kind == "rename" and not (data / name).exists() and is_lost():
@@ -107,6 +107,9 @@
     def truncate(self, name, size):
         pass
 
+    def sync(self, name):
+        pass
+
 
 @define
 class Held:
--- a/tests/soak_vms.py
+++ b/tests/soak_vms.py
@@ -28,6 +28,7 @@
 GRACE_S = 8.0
 # Numbers of log events of consensus that the timeline leaves out: connections to peers.
 UNLOGGED = (507, 508)
+READ_ATTEMPTS = 5
 SHARED_FIELDS = ("at", "level", "process", "event", "name")
 
 
@@ -68,21 +69,11 @@
         return f"http://{self.ip}:{port}"
 
     def settings(self):
-        values = {
-            "name": self.name,
-            "site": f"zone-{self.name[-1]}",
-            "ip": self.ip,
-            "contacts": [f"{vm.ip}:{INTERFACE_PORT}" for vm in self.site.controls],
-            "founds": self.founds,
-            "metrics": f"{self.ip}:{METRICS_PORT}",
-            "internal_port": INTERNAL_PORT,
-            "failures": 1,
-            "heartbeat_ms": 1200,
-            "memory_mb": 300,
-            "lease_ms": 3000,
-            "retention_s": 120,
-            "stop_s": GRACE_S,
-        }
+        contacts = [f"{vm.ip}:{INTERFACE_PORT}" for vm in self.site.controls]
+        values = {"name": self.name, "site": f"zone-{self.name[-1]}", "ip": self.ip}
+        values |= {"contacts": contacts, "founds": self.founds, "internal_port": INTERNAL_PORT}
+        values |= {"metrics": f"{self.ip}:{METRICS_PORT}", "failures": 1, "memory_mb": 300}
+        values |= {"heartbeat_ms": 1200, "lease_ms": 3000, "retention_s": 120, "stop_s": GRACE_S}
         if self.role == "entry":
             values["requests"] = f"{self.ip}:{REQUEST_PORT}"
             values["readiness"] = f"{self.ip}:{READINESS_PORT}"
@@ -95,10 +86,7 @@
         folder = self.site.folder / self.name
         folder.mkdir(parents=True, exist_ok=True)
         (folder / "settings.toml").write_text(self.settings())
-        environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
-        }
-        environment["APRICOTVALE_BOOT"] = str(folder / "settings.toml")
+        environment = {"PATH": os.environ["PATH"], "APRICOTVALE_BOOT": f"{folder}/settings.toml"}
         if self.role == "control":
             self.recorded.mkdir(exist_ok=True)
             (self.recorded / "delay").write_text(f"{self.site.sync_s}")
@@ -106,25 +94,19 @@
         if self.site.links:
             environment["SOAK_LINKS"] = json.dumps(self.site.links.hosts_from(self))
         with open(folder / "log", "ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "tests" / "soak_disk.py"), self.role],
-                cwd=ROOT,
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
+            command = [sys.executable, ROOT / "tests" / "soak_disk.py", self.role]
+            streams = {"stdin": subprocess.DEVNULL, "stdout": log, "stderr": log}
+            self.process = subprocess.Popen(command, cwd=ROOT, env=environment, **streams)
         self.starts += 1
         self.site.note(f"{self.name} starts, founds {self.founds}")
+        return self.site.now()
 
     async def start_up(self):
         """Start the process until it listens; start it again if it is killed before."""
-        self.start()
-        started_at = self.site.now()
+        started_at = self.start()
         while True:
             if self.process.poll() is not None:
-                self.start()
-                started_at = self.site.now()
+                started_at = self.start()
             try:
                 port = REQUEST_PORT if self.role == "entry" else INTERNAL_PORT
                 _, writer = await asyncio.open_connection(self.ip, port)
@@ -151,8 +133,7 @@
         :param lasts_s: time for which it is disturbed from now on, in seconds.
         """
         if self.is_lost:
-            until = self.site.now() + lasts_s + CATCH_UP_S
-            self.lost_until = max(self.lost_until, until)
+            self.lost_until = max(self.lost_until, self.site.now() + lasts_s + CATCH_UP_S)
 
     def signal(self, number):
         if self.process.poll() is None:
@@ -168,7 +149,6 @@
         deadline = time.monotonic() + limit_s
         while self.process.poll() is None and time.monotonic() < deadline:
             await asyncio.sleep(0.005)
-        return self.process.poll() is not None
 
     def wipe(self):
         """Remove the disk of a process that has ended."""
@@ -189,9 +169,6 @@
         if self.recorded.exists():
             (self.recorded / "delay").write_text(f"{seconds}")
 
-    def held(self):
-        return read_held(self.data, self.name)
-
 
 @define
 class Site:
@@ -214,7 +191,6 @@
     breaks: list = field(factory=list)
     busy: list = field(factory=list)
     planned: list = field(factory=list)
-    ended: bool = False
 
     def __attrs_post_init__(self):
         for number in range(3):
@@ -263,9 +239,20 @@
                 self.fail("ENDED", f"{vm.name} ended by itself with {vm.process.returncode}")
                 vm.wanted = False
 
-    def describe_disks(self, why, vms=None):
-        for vm in vms or self.controls:
-            self.note(f"{why}: {vm.name} has {vm.held()}")
+    def describe_disks(self, why):
+        for vm in self.controls:
+            self.note(f"{why}: {vm.name} has {self.read_held(vm)}")
+
+    def read_held(self, vm):
+        """Return what a VM's disk holds; a folder that cannot be read is a break."""
+        for _ in range(READ_ATTEMPTS):
+            held = read_held(vm.data, vm.name)
+            if not held.problem.startswith("unreadable"):
+                return held
+            # The process may have replaced files between two reads.
+            time.sleep(0.02)
+        self.fail("UNREADABLE", f"{vm.name}: {held}")
+        return held
 
     def leader(self):
         """Return the control VM whose log last says that it leads."""
@@ -277,13 +264,11 @@
         return max(leading, key=leading.get, default="")
 
     def close(self):
-        self.ended = True
-        for vm in self.vms:
-            if vm.process is not None:
-                vm.kill()
-        for vm in self.vms:
-            if vm.process is not None:
-                vm.process.wait(5)
+        started = [vm for vm in self.vms if vm.process is not None]
+        for vm in started:
+            vm.kill()
+        for vm in started:
+            vm.process.wait(5)
         if self.links:
             self.links.close()
 
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -20,21 +20,27 @@
     assert not breaks, (line, breaks)
 
 
+class KilledError(Exception):
+    """The process is killed at this point."""
+
+
 @pytest.fixture
 def recorded(tmp_path, monkeypatch):
-    """Return a function that creates a disk on which changes from its second argument on fail."""
+    """Return a function that makes a change on a disk, and ends before the change is synced."""
+
+    def end():
+        raise KilledError
 
     def use(name, change):
         record = tmp_path / name / "record"
         record.mkdir(parents=True)
         files = RecordedFiles(record)
         monkeypatch.setattr(disk, "os", files)
-        monkeypatch.setattr(disk, "open", files.open_file, raising=False)
         folder = disk.FolderDisk(tmp_path / name / "data")
         folder.replace("state", b"old")
         folder.append("log", b"synced")
-        (record / "delay").write_text("-1")
-        with pytest.raises(OSError):
+        files.wait = end
+        with pytest.raises(KilledError):
             change(folder)
         folder.release()
         return folder.folder, record
