--- a/src/apricotvale/consensus/messages.py
+++ b/src/apricotvale/consensus/messages.py
@@ -68,11 +68,18 @@
         """Return the member with this data id, or None."""
         return next((member for member in self.members if member.data_id == data_id), None)
 
-    def predecessors(self, data_id: str) -> list[str]:
-        """Return the data ids of the earlier members with the name of a member."""
+    def has_other(self, member: GroupMember) -> bool:
+        """Return whether another member has the same name."""
+        return any(m.name == member.name and m != member for m in self.members)
+
+    def predecessors(self, data_id: str, name: str) -> list[str]:
+        """Return the data ids of the members that a replica replaces by its name.
+
+        :param data_id: the replica's data id; members that joined after it are not replaced.
+        """
         own = self.find(data_id)
-        earlier = self.members[: self.members.index(own)] if own else ()
-        return [m.data_id for m in earlier if own is not None and m.name == own.name]
+        earlier = self.members[: self.members.index(own)] if own else self.members
+        return [member.data_id for member in earlier if member.name == name != ""]
 
     def quorum(self) -> int:
         """Return the number of voters in a majority."""
@@ -141,6 +148,7 @@
 
     :param lost: data id of the request's target if that data folder is lost and the source, which
         has the same name, answers in its place.
+    :param has_log: whether the source holds a log, so that it may lead.
     """
 
     source: str
@@ -149,6 +157,7 @@
     granted: bool
     pre: bool = False
     lost: str = ""
+    has_log: bool = True
 
 
 @define
--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -101,7 +101,10 @@
         self.votes: set[str] = set()
         # Data ids of the successors that granted their votes, by the lost data id.
         self.successors: dict[str, str] = {}
+        # Members that granted their votes and hold no log, so that they cannot lead.
+        self.empty_members: set[str] = set()
         self.pre_voting = False
+        self.recovering = False
         self.election_attempts = 0
         self.progress: dict[str, Progress] = {}
         self.sequence = 0
@@ -162,6 +165,7 @@
         self.pre_voting = False
         self.votes = set()
         self.successors = {}
+        self.empty_members = set()
         self.progress = {}
         self.ready.failed_reads += self.queued_reads
         self.ready.failed_reads += [ticket for ticket, _, _ in self.unconfirmed_reads]
@@ -223,7 +227,8 @@
     ) -> None:
         """Start a pre-vote or an election and request votes from the other members.
 
-        The votes of learners, and a learner's own election, count only in a recovery.
+        The votes of learners count only in a recovery, and so does an election of a learner or of
+        a replica that only has the name of a member.
 
         A retry after a split vote comes sooner than the first attempt: the leader is already
         known to be silent, and the pre-vote prevents the disruption of an active one. The wait
@@ -239,10 +244,12 @@
             self.election_attempts += 1
             wait *= min(MAX_ELECTION_BACKOFF_FACTOR, self.election_attempts)
         self.election_at = now + self.timing.election_timeout_s * wait
-        if self.group.find(self.data_id) is None:
+        predecessors = self.group.predecessors(self.data_id, self.name)
+        if self.group.find(self.data_id) is None and not predecessors:
             return
         self.leader_id = ""
         self.pre_voting = pre
+        self.recovering = recovery
         self.role = Role.FOLLOWER if pre else Role.CANDIDATE
         term = self.term + 1
         if recovery:
@@ -250,9 +257,8 @@
         if not pre:
             self.set_hard_state(HardState(term, self.data_id))
         self.votes = {self.data_id}
-        self.successors = {
-            data_id: self.data_id for data_id in self.group.predecessors(self.data_id)
-        }
+        self.empty_members = set()
+        self.successors = dict.fromkeys(predecessors, self.data_id)
         log = self.log
         for member in self.group.members:
             if member.name == self.name:
@@ -288,7 +294,9 @@
         """Start the election after a won pre-vote, or become leader after a won election."""
         granted = len(self.votes & set(self.group.voters()))
         has_majority = self.is_voter and granted >= self.group.quorum()
-        if not has_majority and not self.can_recover():
+        # An election that was not begun as a recovery has an ordinary term.
+        may_recover = self.pre_voting or self.recovering
+        if not has_majority and not (may_recover and self.can_recover()):
             return
         if self.pre_voting:
             self.campaign(now, pre=False, recovery=not has_majority)
@@ -302,13 +310,13 @@
         while the leader is frozen. The remaining voters are then fewer than a majority for good,
         although they hold everything that was committed.
 
-        The data folders of so many voters have to be lost that no majority is left, and every
-        member has to grant its vote, or its successor in its place. Each data folder that exists
-        is then at most as up to date as this replica's. A member that does not answer, since it
-        is cut off or down, may hold more.
+        So many voters have to be lost or empty that no majority can elect one of its own, and
+        every member has to grant its vote, or its successor in its place. Each data folder that
+        exists is then at most as up to date as this replica's. A member that does not answer,
+        since it is cut off or down, may hold more.
         """
-        voters = set(self.group.voters())
-        if len(voters - self.successors.keys()) >= self.group.quorum():
+        voters_with_log = set(self.group.voters()) - self.successors.keys() - self.empty_members
+        if len(voters_with_log) >= self.group.quorum():
             return False
         members = {member.data_id for member in self.group.members}
         return members <= self.votes | self.successors.keys()
@@ -376,7 +384,10 @@
         """Reply with the request's term if the vote is granted, else with this replica's term."""
         term = request.term if granted else self.term
         lost = request.target if request.target != self.data_id else ""
-        self.send(VoteReply(self.data_id, request.source, term, granted, request.pre, lost))
+        has_log = self.log.last_index > 0
+        self.send(
+            VoteReply(self.data_id, request.source, term, granted, request.pre, lost, has_log)
+        )
 
     def on_vote_reply(self, reply: VoteReply, now: float) -> None:
         """Count a granted vote; step down if a refusal carries a newer term.
@@ -396,6 +407,8 @@
             self.successors[reply.lost] = reply.source
         else:
             self.votes.add(reply.source)
+            if not reply.has_log:
+                self.empty_members.add(reply.source)
         self.count_votes(now)
 
     def on_campaign_request(self, request: CampaignRequest, now: float) -> None:
@@ -654,13 +667,16 @@
         )
 
     def on_install_request(self, request: InstallRequest, now: float) -> None:
-        """Replace the log with the leader's snapshot if it is ahead of the commit index."""
+        """Replace the log with the leader's snapshot, unless the log leads to it."""
         if request.term < self.term:
             self.reply_append(request, False, self.log.last_index)
             return
         self.accept_leader(request.term, request.source, "", now)
         snapshot = request.snapshot
-        if snapshot.index > self.commit_index:
+        if self.log.term_at(snapshot.index) == snapshot.term:
+            # The request is late: the log leads to the snapshot and may go on beyond it.
+            self.commit_index = max(self.commit_index, snapshot.index)
+        elif snapshot.index > self.commit_index:
             self.log.reset(snapshot)
             self.groups = [(snapshot.index, snapshot.group)]
             self.commit_index = snapshot.index
@@ -702,9 +718,10 @@
         if not self.can_change_group():
             return
         view = self.membership_view(now)
-        for lost, successor in self.successors.items():
+        while self.successors:
+            lost, successor = self.successors.popitem()
             member = self.group.find(lost)
-            if member is not None and self.group.find(successor) is None:
+            if member is not None and not self.group.has_other(member):
                 request = JoinRequest(successor, self.data_id, member.name, member.address)
                 group = membership.group_after_join(request, view)
                 if group is not None:
