--- a/tests/soak_vms.py
+++ b/tests/soak_vms.py
@@ -38,6 +38,7 @@
 class Vm:
     """One VM with one process.
 
+    :param killed: the process that was killed last.
     :param founds: whether the process may found the group; false once the disk was lost.
     :param lost_until: when the VM counts as caught up after it lost its disk, on the run's clock.
     :param back_at: when the process was started last, or `START_S` before it listened if later.
@@ -52,6 +53,7 @@
     ip: str
     founds: bool
     process: subprocess.Popen | None = None
+    killed: subprocess.Popen | None = None
     lost_until: float = 0.0
     back_at: float = 0.0
     start_s: float = 0.0
@@ -115,9 +117,11 @@
                 port = REQUEST_PORT if self.role == "entry" else INTERNAL_PORT
                 _, writer = await asyncio.open_connection(self.ip, port)
                 writer.close()
-                break
+                if self.killed is not self.process:
+                    break
             except OSError:
-                await asyncio.sleep(0.02)
+                pass
+            await asyncio.sleep(0.02)
         self.wanted = True
         if self.site.links:
             await self.site.links.open_to(self)
@@ -146,6 +150,7 @@
 
     def kill(self):
         self.wanted = False
+        self.killed = self.process
         self.signal(signal.SIGKILL)
         if self.site.links:
             self.site.links.close_to(self)
