Send a request to the upstream of a sidecar once

What callers saw: a GET, PUT or DELETE whose upstream closed the connection was sent to it a second time by the sidecar; if the upstream had ended, the caller was told that the request had not run.

Cause: aiohttp repeats a request with an idempotent method after a lost connection, also on a new one. The refused connection of the second send is reported as not run. A request that may run once is affected too, if its method is PUT or DELETE. The platform's client has switched the repetition off since it was written; the sidecar's sessions had not.

Evidence: tests/test_sidecar_resends.py, both tests failed before (not_run in place of unknown; two sends in place of one). The session attribute is private in aiohttp, as in platform/connections.py: there is no public switch.

--- a/src/apricotvale/daemons/sidecar.py
+++ b/src/apricotvale/daemons/sidecar.py
@@ -103,6 +103,9 @@
             HttpServer(self.make_app(), self.settings.listen) as server,
             TaskGroup() as tasks,
         ):
+            # aiohttp would itself send a request with an idempotent method again, after its first
+            # send may have run, and the refusal of the second would pass for that of the request.
+            self.session._retry_connection = self.unpooled_session._retry_connection = False
             events.emit(events.STARTED, listen=self.settings.listen)
             await self.poll_upstream()
             sync_task = tasks.start(self.link.run())
