Let the parts that stop crashing requests serve both control daemons

No change for callers of the platform's path. The calls, commands, control part, guard, supervision and submission of requests that end upstreams depended on the fleet's messages, its registry and its forwarder. They now depend on what they use of these, so that the path of entries and sidecars can use the same ones. Class names of messages, and so their encoding, are unchanged.

A stopped request that may have run has status 502 in the entry's log too; callers of the platform got 502 before.

--- a/src/apricotvale/crashes/evidence.py
+++ b/src/apricotvale/crashes/evidence.py
@@ -8,6 +8,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any, Protocol
+
 from attrs import define, field, frozen
 
 from apricotvale.discovery import RegistryView, Standing, Upstream
@@ -17,6 +20,18 @@
 MAX_LOSSES = 256
 
 
+class Target(Protocol):
+    """What a request is sent to: an upstream, or the sidecar in front of one."""
+
+    @property
+    def incarnation(self) -> str:
+        """Return the id of this process start."""
+
+    @property
+    def service(self) -> str:
+        """Return the service that it belongs to."""
+
+
 @frozen
 class Loss:
     """A submission whose upstream closed the connection before the whole answer.
@@ -27,7 +42,7 @@
 
     identity: str
     request_id: str
-    upstream: Upstream
+    upstream: Target
     at_ms: int
     until: float
     is_trial: bool = False
@@ -77,13 +92,18 @@
         self.pending.append(loss)
         del self.pending[:-MAX_LOSSES]
 
-    def settle(self, view: RegistryView, now: float) -> list[Loss]:
-        """Return the losses whose upstream has ended, and drop them and those that are settled."""
+    def settle(
+        self, view: Any, now: float, ended_in: Callable[[Any, Any], bool | None] = has_ended
+    ) -> list[Loss]:
+        """Return the losses whose upstream has ended, and drop them and those that are settled.
+
+        :param ended_in: returns whether a view shows that an upstream ended, None if it may yet.
+        """
         ended, kept = [], []
         for loss in self.pending:
             if now >= loss.until:
                 continue
-            outcome = has_ended(loss.upstream, view)
+            outcome = ended_in(loss.upstream, view)
             if outcome is None:
                 kept.append(loss)
             elif outcome:
--- a/src/apricotvale/daemons/crash_control.py
+++ b/src/apricotvale/daemons/crash_control.py
@@ -8,11 +8,11 @@
 
 from apricotvale import clock, events
 from apricotvale.consensus.calls import Unconfirmed
+from apricotvale.crashes import calls
+from apricotvale.crashes import commands as c
 from apricotvale.crashes.book import CrashBook, Suspect, SuspectDelta, SuspectNotice
 from apricotvale.crashes.trials import Trials
 from apricotvale.daemons.runtime import TaskGroup, wait_event
-from apricotvale.fleet import calls
-from apricotvale.fleet import commands as c
 
 # A record ends this long after this replica learned of it; a restarted replica learns anew.
 KEEP_S = 600.0
@@ -27,6 +27,8 @@
     :param book: returns the replicated record.
     :param is_current: returns whether this replica leads and has all that was committed before.
     :param commit: commits a command and returns the reply for its caller.
+    :param accepted: reply to a call that took effect; `commit` returns one of its class for a
+        command that did.
     :param tasks: where commits run that no caller waits for.
     """
 
@@ -34,12 +36,14 @@
         self,
         book: Callable[[], CrashBook],
         is_current: Callable[[], bool],
-        commit: Callable[[c.Command], Awaitable[Any]],
+        commit: Callable[[Any], Awaitable[Any]],
+        accepted: Any,
         tasks: TaskGroup,
     ) -> None:
         self.book = book
         self.is_current = is_current
         self.commit = commit
+        self.accepted = accepted
         self.tasks = tasks
         self.trials = Trials()
         self.ends_at: dict[str, float] = {}
@@ -99,6 +103,18 @@
 
     # Calls
 
+    async def on_call(
+        self, request: calls.ReportCrashes | calls.BeginTrial | calls.EndTrial
+    ) -> Any:
+        """Answer a call."""
+        match request:
+            case calls.ReportCrashes():
+                return await self.on_report(request)
+            case calls.BeginTrial():
+                return await self.on_begin_trial(request)
+            case calls.EndTrial():
+                return await self.on_end_trial(request)
+
     async def on_report(self, request: calls.ReportCrashes) -> Any:
         """Commit what is news of a report; end the trials that it concerns."""
         book = self.book()
@@ -120,7 +136,7 @@
                 ],
                 outcome=type(reply).__name__,
             )
-            if not isinstance(reply, calls.Accepted):
+            if not isinstance(reply, type(self.accepted)):
                 return reply
         for report in request.reports:
             self.trials.end(report.identity, report.crash.request_id, report.crash.process)
@@ -183,7 +199,7 @@
             self.wake()
         if request.answered and request.identity in self.book().state.suspects:
             return await self.clear([request.identity], "answered", request.request_id)
-        return calls.Accepted()
+        return self.accepted
 
     async def clear(self, identities: list[str], why: str, request_id: str = "") -> Any:
         """Commit that requests are not under suspicion any more."""
--- a/src/apricotvale/daemons/crash_guard.py
+++ b/src/apricotvale/daemons/crash_guard.py
@@ -5,17 +5,25 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
+
+from attrs import frozen
 
 from apricotvale import clock, events, metrics
-from apricotvale.crashes.book import Crash, CrashReport
-from apricotvale.crashes.evidence import LOSS_KEEP_S, Loss, Losses, has_ended, is_planned
+from apricotvale.crashes import calls
+from apricotvale.crashes.book import Crash, CrashReport, SuspectDelta
+from apricotvale.crashes.evidence import (
+    LOSS_KEEP_S,
+    Loss,
+    Losses,
+    Target,
+    has_ended,
+    is_planned,
+)
 from apricotvale.crashes.known import MAX_OWN, OWN_KEEP_S, KnownSuspect, KnownSuspects
 from apricotvale.daemons.runtime import TaskGroup
 from apricotvale.daemons.supervision import Supervision, TrialState
-from apricotvale.discovery import RegistryView, Upstream
-from apricotvale.fleet import calls
-from apricotvale.requests.calls import Call, UpstreamClient
+from apricotvale.requests.calls import Call
 
 # Time for which a submission waits for the check of the upstream that it lost.
 CHECK_WAIT_S = 0.1
@@ -33,29 +41,57 @@
 Ask = Callable[[Any, float], Awaitable[Any]]
 
 
+class Prober(Protocol):
+    """Client that can check an upstream."""
+
+    async def accepts_connections(self, upstream: Any) -> bool | None:
+        """Return whether the upstream accepts connections, None if that is not known."""
+
+
+@frozen
+class Signs:
+    """What a view of the upstreams shows about the end of one.
+
+    :param is_planned: returns whether an upstream had announced that it leaves.
+    :param has_ended: returns whether it ended without notice, None if that may still show.
+    """
+
+    is_planned: Callable[[Any, Any], bool]
+    has_ended: Callable[[Any, Any], bool | None]
+
+
+REGISTRY_SIGNS = Signs(is_planned, has_ended)
+
+
 class CrashGuard:
     """What an entry knows of requests that end upstreams, and its submissions in flight.
 
     :param name: name of this process.
     :param view: the known upstreams.
-    :param client: HTTP client for upstreams.
+    :param client: client that checks upstreams.
     :param ask: sends a call to the control leader by a deadline on `clock.now`; returns the reply.
     :param has_control: returns whether control has confirmed the view of this process lately.
+    :param signs: what the view shows.
+    :param on_ended: called with each upstream that has ended with a request in flight.
     """
 
     def __init__(
         self,
         name: str,
-        view: RegistryView,
-        client: UpstreamClient,
+        view: Any,
+        client: Prober,
         ask: Ask,
         has_control: Callable[[], bool],
+        signs: Signs = REGISTRY_SIGNS,
+        on_ended: Callable[[Any], None] = lambda upstream: None,
     ) -> None:
         self.name = name
         self.view = view
         self.client = client
         self.ask = ask
         self.has_control = has_control
+        self.signs = signs
+        self.on_ended = on_ended
         self.known = KnownSuspects()
         self.losses = Losses()
         self.in_flight: set[Supervision] = set()
@@ -81,9 +117,7 @@
 
     # Evidence
 
-    async def on_loss(
-        self, upstream: Upstream, supervision: Supervision, started_at: float
-    ) -> None:
+    async def on_loss(self, upstream: Target, supervision: Supervision, started_at: float) -> None:
         """Look for evidence that an upstream ended, once it has closed a request's connection.
 
         Returns when what was found is recorded by control. A dark upstream neither accepts nor
@@ -92,7 +126,7 @@
 
         :param started_at: when the request was sent there, on `clock.now`.
         """
-        if supervision.call.caller is None or is_planned(upstream, self.view):
+        if supervision.call.caller is None or self.signs.is_planned(upstream, self.view):
             return
         check = self.check(upstream)
         work = self.tasks.start(self.look_for_end(upstream, supervision, started_at, check))
@@ -102,7 +136,7 @@
 
     async def look_for_end(
         self,
-        upstream: Upstream,
+        upstream: Target,
         supervision: Supervision,
         started_at: float,
         check: asyncio.Task[bool | None],
@@ -129,12 +163,12 @@
             return
         if accepts is False:
             await self.record([loss], "connections refused")
-        elif has_ended(upstream, self.view):
+        elif self.signs.has_ended(upstream, self.view):
             await self.record([loss], "replaced")
         else:
             self.losses.add(loss)
 
-    def check(self, upstream: Upstream) -> asyncio.Task[bool | None]:
+    def check(self, upstream: Target) -> asyncio.Task[bool | None]:
         """Check whether an upstream accepts connections; losses at the same time share a check."""
         task = self.checks.get(upstream.incarnation)
         if task is None:
@@ -149,6 +183,7 @@
         for loss in losses:
             crash = Crash(loss.upstream.incarnation, self.name, loss.request_id, loss.at_ms)
             metrics.CRASHES_FOUND.inc()
+            self.on_ended(loss.upstream)
             events.emit(
                 events.CRASH_FOUND,
                 request=loss.request_id,
@@ -204,17 +239,20 @@
 
     # Knowledge of control
 
-    def on_reply(self, reply: calls.WatchReply) -> None:
-        """Adopt what control knows, and look for evidence in the registry."""
+    def on_news(self, suspects: SuspectDelta | None) -> None:
+        """Adopt what control knows, and look for evidence in the view.
+
+        :param suspects: None without changes.
+        """
         now = clock.now()
-        if reply.suspects is not None:
-            self.known.apply(reply.suspects, now)
+        if suspects is not None:
+            self.known.apply(suspects, now)
             self.notify(None)
         if now >= self.prune_at:
             self.prune_at = now + PRUNE_INTERVAL_S
             self.known.prune(now)
         if self.losses.pending:
-            ended = self.losses.settle(self.view, now)
+            ended = self.losses.settle(self.view, now, self.signs.has_ended)
             if ended:
                 self.tasks.start(self.record(ended, "replaced"))
 
--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -141,7 +141,11 @@
             lambda: self.replica.node.term,
         )
         self.crashes = CrashControl(
-            lambda: self.state.crashes, self.is_current, self.commit, self.runner.tasks
+            lambda: self.state.crashes,
+            self.is_current,
+            self.commit,
+            calls.Accepted(),
+            self.runner.tasks,
         )
         self.duty_tasks = TaskGroup()
         self.duties: DutyHolder | None = None
@@ -273,12 +277,8 @@
             case calls.DrawPermits():
                 issued = self.permits.issue(request, clock.now())
                 return calls.PermitsDrawn(issued.granted, issued.wait_s, issued.sharers)
-            case calls.ReportCrashes():
-                return await self.crashes.on_report(request)
-            case calls.BeginTrial():
-                return await self.crashes.on_begin_trial(request)
-            case calls.EndTrial():
-                return await self.crashes.on_end_trial(request)
+            case calls.ReportCrashes() | calls.BeginTrial() | calls.EndTrial():
+                return await self.crashes.on_call(request)
             case calls.PutTable():
                 return await self.on_put_table(request)
             case calls.PublishVersion():
--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -66,7 +66,7 @@
             self.link.call_briefly,
             lambda: self.link.is_fresh,
         )
-        self.link.on_reply = self.guard.on_reply
+        self.link.on_reply = lambda reply: self.guard.on_news(reply.suspects)
         self.forwarder = Forwarder(
             settings.site,
             self.link.view,
--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -9,6 +9,7 @@
 from apricotvale.daemons.crash_guard import CrashGuard
 from apricotvale.daemons.permits import PermitSource
 from apricotvale.daemons.submission import Submission
+from apricotvale.daemons.supervision import Supervision
 from apricotvale.discovery import RegistryView, Upstream
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run
 from apricotvale.requests.calls import Answer, Call, RunStream, UpstreamClient
@@ -25,7 +26,6 @@
 FULL_S = 0.2
 # A service counts as short of slots for this long after such a refusal.
 SHORTAGE_S = 1.0
-MAX_TRIAL_CANDIDATES = 8
 UPSTREAM_FAILURES = (Reason.UPSTREAM_UNREACHABLE, Reason.UPSTREAM_LOST, Reason.UPSTREAM_GARBLED)
 
 
@@ -88,12 +88,7 @@
         others = self.with_room(
             self.within_limits(self.view.ready(service), False, now), service, call
         )
-        more = [
-            upstream.incarnation
-            for upstream in others
-            if upstream.incarnation not in request.tried and self.router.is_healthy(upstream, now)
-        ]
-        return list(dict.fromkeys([choice.member.incarnation, *more]))[:MAX_TRIAL_CANDIDATES]
+        return self.router.rank(choice.member, others, now, request.tried)
 
     def choose_for_trial(
         self, request: ForwardedRequest, call: Call, incarnation: str
@@ -215,8 +210,9 @@
             )
         return found
 
-    def is_full(self, route: Route, call: Call, now: float) -> bool:
+    def is_full(self, request: ForwardedRequest, call: Call, now: float) -> bool:
         """Return whether no service of a route has a slot for a second copy, and log it."""
+        route = request.route
         candidates = self.ready_of(route)
         if not self.is_service_full(candidates, now):
             return False
@@ -289,6 +285,10 @@
             events.emit(events.EJECTED, upstream=upstream.incarnation)
         return result
 
+    def finish_copy(self, supervision: Supervision, result: Answer | Refusal) -> None:
+        """Tell the supervision that a copy has its result; an answer clears the request."""
+        supervision.finish_copy(isinstance(result, Answer))
+
     def is_leaving(self, upstream: Upstream) -> bool:
         """Return whether the upstream stated to this process that it leaves."""
         return upstream.incarnation in self.view.leaving
--- a/src/apricotvale/daemons/submission.py
+++ b/src/apricotvale/daemons/submission.py
@@ -3,25 +3,83 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from attrs import define, field
 
-from apricotvale import clock, events, metrics
-from apricotvale.crashes.known import KnownSuspect
-from apricotvale.daemons.supervision import Supervision, TrialState
-from apricotvale.discovery import Upstream
+from apricotvale import clock, events
+from apricotvale.crashes.evidence import Target
+from apricotvale.daemons.supervision import WITHOUT_TRIAL_DETAIL, Supervision, TrialState
 from apricotvale.outcomes import Reason, Refusal
-from apricotvale.requests.calls import Answer, Call
-from apricotvale.requests.forwarding import ForwardedRequest
-
-if TYPE_CHECKING:
-    from apricotvale.daemons.forwarder import Forwarder
+from apricotvale.requests.calls import Call
 
 # A second copy that was not sent, as all slots were taken, is considered again after this time.
 FULL_PAUSE_S = 0.2
 
 
+class RetryState(Protocol):
+    """Retry state of a submission, updated with the results of its copies.
+
+    :param in_flight: number of copies in flight.
+    :param hedge_at: time from which a second copy may be sent while one is in flight.
+    """
+
+    in_flight: int
+    hedge_at: float
+
+    @property
+    def name(self) -> str:
+        """Return the name used in logs."""
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether the request may run more than once."""
+
+    @property
+    def can_have_run(self) -> bool:
+        """Return whether a copy has run, may have run or may still run."""
+
+    def may_send(self, now: float) -> bool:
+        """Return whether a copy may be sent now."""
+
+    def begin(self, incarnation: str, now: float) -> None:
+        """Record that a copy is sent."""
+
+    def withdraw(self, incarnation: str, sent_at: float) -> None:
+        """Record that a copy in flight was cancelled and may be sent again."""
+
+    def finish(self, result: Any, sent_at: float) -> Any:
+        """Record the result of a copy; return the answer if it is final, else None."""
+
+    def refuse(self, reason: Reason, detail: str) -> None:
+        """Record why no further copy is sent."""
+
+
+class Sender(Protocol):
+    """Chooses what a submission is sent to, and sends to it."""
+
+    def choose(self, request: Any, call: Call, now: float) -> Any:
+        """Choose and log the target of the next copy; return None if none is left."""
+
+    def choose_for_trial(self, request: Any, call: Call, incarnation: str) -> Any:
+        """Return and log the target of a trial, None if it accepts no work any more."""
+
+    def trial_candidates(self, request: Any, call: Call, now: float) -> list[str]:
+        """Return the incarnations at which a request may be tried, the preferred one first."""
+
+    def is_full(self, request: Any, call: Call, now: float) -> bool:
+        """Return whether there is no room for a second copy."""
+
+    async def send(self, target: Any, call: Call) -> Any:
+        """Send a copy and return its result."""
+
+    def finish_copy(self, supervision: Supervision, result: Any) -> None:
+        """Tell the supervision that a copy has its result."""
+
+    def final_result(self, request: Any, call: Call, now: float) -> Any:
+        """Return the result of a submission whose copies gave no final answer."""
+
+
 @define(eq=False)
 class Copy:
     """A copy of a request that was sent to an upstream.
@@ -29,9 +87,9 @@
     :param is_over: whether its result is known; its task may still look for the cause of a loss.
     """
 
-    upstream: Upstream
+    upstream: Target
     sent_at: float
-    task: asyncio.Task[Answer | Refusal] = field(init=False)
+    task: asyncio.Task[Any] = field(init=False)
     is_over: bool = False
 
 
@@ -45,9 +103,9 @@
     :param copies: copies in flight.
     """
 
-    forwarder: Forwarder
+    forwarder: Sender
     call: Call
-    request: ForwardedRequest
+    request: RetryState
     supervision: Supervision
     copies: list[Copy] = field(factory=list)
 
@@ -58,21 +116,22 @@
         for copy in self.copies:
             copy.task.cancel()
 
-    async def run(self) -> Answer | Refusal:
+    async def run(self) -> Any:
         """Return the final answer or refusal."""
+        request, supervision = self.request, self.supervision
         while True:
             now = clock.now()
-            suspicion = self.supervision.suspicion(now)
+            suspicion = supervision.suspicion(now)
             if suspicion is not None and suspicion.is_condemned:
-                return self.stop(suspicion, now)
+                return supervision.stop(suspicion, request.can_have_run, request.name, now)
             if suspicion is not None:
                 self.prepare_trial(now)
             if self.send_next(suspicion is not None, now):
                 continue
-            if now >= self.call.deadline or not (self.copies or self.supervision.is_waiting):
-                if self.supervision.trial is TrialState.REFUSED:
-                    self.request.refuse(Reason.NO_QUORUM, "upstreams ended under this request")
-                return self.forwarder.final_result(self.request, self.call, now)
+            if now >= self.call.deadline or not (self.copies or supervision.is_waiting):
+                if supervision.trial is TrialState.REFUSED:
+                    request.refuse(Reason.NO_QUORUM, WITHOUT_TRIAL_DETAIL)
+                return self.forwarder.final_result(request, self.call, now)
             await self.wait_for_change(now)
             answer = self.take_results()
             if answer is not None:
@@ -84,7 +143,7 @@
         if (
             request.may_send(now)
             and request.in_flight
-            and self.forwarder.is_full(request.route, self.call, now)
+            and self.forwarder.is_full(request, self.call, now)
         ):
             request.hedge_at = now + FULL_PAUSE_S
         if not request.may_send(now):
@@ -107,12 +166,12 @@
         self.copies.append(copy)
         return True
 
-    async def run_copy(self, copy: Copy) -> Answer | Refusal:
+    async def run_copy(self, copy: Copy) -> Any:
         """Send a copy and return its result; see to it that the end of its upstream is known."""
         result = await self.forwarder.send(copy.upstream, self.call)
         copy.is_over = True
         if isinstance(result, Refusal) and result.reason is Reason.UPSTREAM_LOST:
-            await self.forwarder.guard.on_loss(copy.upstream, self.supervision, copy.sent_at)
+            await self.supervision.on_loss(copy.upstream, copy.sent_at)
         return result
 
     async def wait_for_change(self, now: float) -> None:
@@ -126,12 +185,12 @@
         )
         self.supervision.rearm()
 
-    def take_results(self) -> Answer | None:
+    def take_results(self) -> Any:
         """Record the results of the copies that are done; return the final answer if any."""
         for copy in [copy for copy in self.copies if copy.task.done()]:
             self.copies.remove(copy)
             result = copy.task.result()
-            self.supervision.finish_copy(isinstance(result, Answer))
+            self.forwarder.finish_copy(self.supervision, result)
             answer = self.request.finish(result, copy.sent_at)
             if answer is not None:
                 return answer
@@ -176,26 +235,3 @@
             identity=self.call.identity,
             upstream=copy.upstream.incarnation,
         )
-
-    def stop(self, suspicion: KnownSuspect, now: float) -> Refusal:
-        """Refuse a request that ends the upstreams that run it."""
-        metrics.REQUESTS_STOPPED.inc()
-        result = self.request.stopped_result(suspicion.ends_at - now)
-        events.emit(
-            events.REQUEST_STOPPED,
-            request=self.call.request_id,
-            identity=self.call.identity,
-            route=self.request.route.name,
-            ran=result.ran,
-            crashes=[
-                {
-                    "upstream": crash.upstream,
-                    "process": crash.process,
-                    "request": crash.request_id,
-                    "at": crash.at_ms / 1000,
-                }
-                for crash in suspicion.crashes
-            ],
-            left_s=round(suspicion.ends_at - now),
-        )
-        return result
--- a/src/apricotvale/daemons/supervision.py
+++ b/src/apricotvale/daemons/supervision.py
@@ -3,21 +3,28 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from attrs import define
 
-from apricotvale import clock, metrics
+from apricotvale import clock, events, metrics
+from apricotvale.crashes.evidence import Target
 from apricotvale.crashes.known import KnownSuspect
-from apricotvale.discovery import Upstream
+from apricotvale.outcomes import Reason, Refusal, crashes_upstreams, not_run
 from apricotvale.requests.calls import Call
 
 if TYPE_CHECKING:
     from apricotvale.daemons.crash_guard import CrashGuard
 
 
+MAX_TRIAL_CANDIDATES = 8
+WITHOUT_TRIAL_DETAIL = "upstreams ended under this request"
+
+T = TypeVar("T")
+
+
 class TrialState(Enum):
     """A submission's part in the trials of its request.
 
@@ -71,10 +78,17 @@
         """Return whether a call for a trial is under way."""
         return self.trial is TrialState.ASKED
 
-    def has_trial_at(self, upstream: Upstream) -> bool:
+    def has_trial_at(self, upstream: Target) -> bool:
         """Return whether the submission has a trial that runs at an upstream."""
         return self.trial is TrialState.GRANTED and self.upstream == upstream.incarnation
 
+    async def on_loss(self, upstream: Target, sent_at: float) -> None:
+        """Look for evidence that the upstream of a copy ended.
+
+        :param sent_at: when the copy was sent, on `clock.now`.
+        """
+        await self.guard.on_loss(upstream, self, sent_at)
+
     def notify(self) -> None:
         """Wake the task that forwards the submission."""
         if not self.changed.done():
@@ -104,7 +118,7 @@
         """
         self.trial = TrialState.ASKED
         self.has_asked = True
-        work = self.guard.begin_trial(self, list(candidates), has_copy)
+        work = self.guard.begin_trial(self, list(candidates[:MAX_TRIAL_CANDIDATES]), has_copy)
         self.asking = asyncio.create_task(work)
 
     def settle(self, trial: TrialState, upstream: str = "") -> None:
@@ -128,3 +142,77 @@
             self.has_asked = False
         if self.trial is not TrialState.ASKED:
             self.trial, self.upstream = TrialState.NONE, ""
+
+    def stop(self, suspicion: KnownSuspect, can_have_run: bool, route: str, now: float) -> Refusal:
+        """Log and return the refusal of a request that ends the upstreams that run it.
+
+        :param can_have_run: whether a copy of this submission was sent.
+        :param route: name used in logs.
+        """
+        metrics.REQUESTS_STOPPED.inc()
+        result = crashes_upstreams(can_have_run, suspicion.ends_at - now)
+        events.emit(
+            events.REQUEST_STOPPED,
+            request=self.call.request_id,
+            identity=self.call.identity,
+            route=route,
+            ran=result.ran,
+            crashes=[
+                {
+                    "upstream": crash.upstream,
+                    "process": crash.process,
+                    "request": crash.request_id,
+                    "at": crash.at_ms / 1000,
+                }
+                for crash in suspicion.crashes
+            ],
+            left_s=round(suspicion.ends_at - now),
+        )
+        return result
+
+    # Requests that are sent once
+
+    async def obtain(self, candidates: Callable[[], list[str]]) -> str | Refusal:
+        """Wait until the only copy of a request may be sent.
+
+        :param candidates: returns the incarnations in order of preference.
+        :return: the incarnation at which the trial runs, empty if it needs none, or a refusal.
+        """
+        while True:
+            now = clock.now()
+            suspicion = self.suspicion(now)
+            if suspicion is None or self.trial is TrialState.EXEMPT:
+                return ""
+            if suspicion.is_condemned:
+                return self.stop(suspicion, False, self.call.host, now)
+            if self.trial is TrialState.GRANTED:
+                return self.upstream
+            if self.trial is TrialState.REFUSED:
+                return not_run(Reason.NO_QUORUM, WITHOUT_TRIAL_DETAIL)
+            if now >= self.call.deadline:
+                return not_run(Reason.DEADLINE_EXPIRED)
+            if self.needs_trial(now):
+                found = candidates()
+                if not found:
+                    return not_run(Reason.NO_UPSTREAM)
+                self.ask(found, has_copy=False)
+            await asyncio.wait([self.changed], timeout=self.call.deadline - now)
+            self.rearm()
+
+    async def watch(self, copy: asyncio.Future[T], incarnation: str) -> T:
+        """Return the result of the only copy of a request.
+
+        It goes on as the trial if suspicion arises meanwhile and no other submission has it. It is
+        not withdrawn in any case: its caller could not be told whether it has run.
+
+        :param incarnation: where it runs.
+        """
+        while not copy.done():
+            if self.trial is TrialState.DENIED:
+                self.trial = TrialState.EXEMPT
+            if self.needs_trial(clock.now()):
+                self.ask([incarnation], has_copy=True)
+            waits: list[asyncio.Future[Any]] = [self.changed, copy]
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            self.rearm()
+        return copy.result()
--- a/src/apricotvale/fleet/commands.py
+++ b/src/apricotvale/fleet/commands.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from apricotvale.crashes.book import CrashReport
+from apricotvale.crashes.commands import ClearSuspects, RecordCrashes
 from apricotvale.discovery import Upstream
 from apricotvale.duties.usage import UsageReport
 from apricotvale.jobs import Job, Progress, Result
@@ -61,20 +61,6 @@
     sequence: int
 
 
-@frozen
-class RecordCrashes:
-    """Record ends of upstreams with the requests that were in flight there."""
-
-    reports: list[CrashReport]
-
-
-@frozen
-class ClearSuspects:
-    """Remove requests from suspicion: they were answered, or their records have ended."""
-
-    identities: list[str]
-
-
 @frozen
 class PublishVersion:
     """Record the newest weight version of a model."""
--- a/src/apricotvale/fleet/state.py
+++ b/src/apricotvale/fleet/state.py
@@ -10,6 +10,7 @@
 from apricotvale.codec import decode, encode, unpack
 from apricotvale.consensus.messages import Entry, EntryKind, Part
 from apricotvale.crashes.book import CrashBook, CrashBookState
+from apricotvale.crashes.commands import execute
 from apricotvale.discovery import Registry, RegistryState
 from apricotvale.duties.usage import UsageBook, UsageState
 from apricotvale.exceptions import MessageError
@@ -124,12 +125,8 @@
                         command.upstream_id, command.born_ms, command.sequence, index
                     )
                 )
-            case c.RecordCrashes():
-                changed = [self.crashes.record(report, index) for report in command.reports]
-                return c.Applied(any(changed))
-            case c.ClearSuspects():
-                changed = [self.crashes.remove(i, index) for i in command.identities]
-                return c.Applied(any(changed))
+            case c.RecordCrashes() | c.ClearSuspects():
+                return c.Applied(execute(command, self.crashes, index))
             case c.PublishVersion():
                 return self.publish(command)
             case c.AcceptJob():
--- a/src/apricotvale/membership/roster.py
+++ b/src/apricotvale/membership/roster.py
@@ -32,6 +32,8 @@
     :param incarnation: id of the process start, new at each restart.
     :param site: failure domain.
     :param models: weight version of each model, as last announced by an engine.
+    :param is_leaving: whether the process itself leaves; a sidecar whose upstream is down drains
+        without that.
     """
 
     name: str
@@ -43,6 +45,12 @@
     models: dict[str, int] = field(factory=dict)
     checks_fencing: bool = False
     standing: Standing = Standing.SERVING
+    is_leaving: bool = False
+
+    @property
+    def service(self) -> str:
+        """Return the pool or service that the member belongs to."""
+        return self.group
 
 
 @frozen
--- a/src/apricotvale/outcomes.py
+++ b/src/apricotvale/outcomes.py
@@ -97,6 +97,8 @@
     @property
     def status(self) -> int:
         """Return the HTTP status of the refusal."""
+        if self.reason is Reason.CRASHES_UPSTREAMS and self.ran is not Ran.NOT_RUN:
+            return STATUS_BY_REASON[Reason.UPSTREAM_LOST]
         return STATUS_BY_REASON.get(self.reason, DEFAULT_STATUS)
 
     def problem(self, request_id: str = "") -> dict[str, object]:
@@ -122,3 +124,15 @@
 def unknown(reason: Reason, detail: str = "") -> Refusal:
     """Return a failure of a request that may have been executed."""
     return Refusal(reason, Ran.UNKNOWN, detail)
+
+
+def crashes_upstreams(can_have_run: bool, left_s: float) -> Refusal:
+    """Return the refusal of a request that ends the upstreams that run it.
+
+    :param can_have_run: whether a copy of this submission was sent.
+    :param left_s: time until the request may be sent again.
+    """
+    detail = "upstreams ended while they ran this request"
+    if can_have_run:
+        return unknown(Reason.CRASHES_UPSTREAMS, detail)
+    return not_run(Reason.CRASHES_UPSTREAMS, detail, round(max(0.0, left_s), 1))
--- a/src/apricotvale/requests/forwarding.py
+++ b/src/apricotvale/requests/forwarding.py
@@ -62,6 +62,16 @@
         """Return whether the request may run more than once."""
         return self.route.kind is RouteKind.SAFE
 
+    @property
+    def name(self) -> str:
+        """Return the name used in logs."""
+        return self.route.name
+
+    @property
+    def can_have_run(self) -> bool:
+        """Return whether a copy has run, may have run or may still run."""
+        return bool(self.may_have_run or self.in_flight or self.withdrawn)
+
     @property
     def ran_at(self) -> float | None:
         """Return when the attempt that ran, or may have run, was sent; None if none did.
@@ -137,7 +147,7 @@
         """
         if self.last_server_error is not None:
             return evolve(self.last_server_error, server_errors=self.server_errors)
-        if self.may_have_run or self.in_flight or self.withdrawn:
+        if self.can_have_run:
             reason = self.refusal.reason if self.refusal else Reason.UPSTREAM_LOST
             return unknown(Reason.DEADLINE_EXPIRED if now >= self.deadline else reason)
         reason = self.refusal.reason if self.refusal else Reason.NO_UPSTREAM
@@ -145,16 +155,6 @@
             reason, f"no upstream accepted the request in {len(self.tried)} attempts", retry_after_s
         )
 
-    def stopped_result(self, left_s: float) -> Refusal:
-        """Return the refusal of a request that ends the upstreams that run it.
-
-        :param left_s: time until it may be sent again.
-        """
-        detail = "upstreams ended while they ran this request"
-        if self.may_have_run or self.in_flight or self.withdrawn:
-            return unknown(Reason.CRASHES_UPSTREAMS, detail)
-        return not_run(Reason.CRASHES_UPSTREAMS, detail, round(max(0.0, left_s), 1))
-
 
 def earlier(known: float | None, at: float) -> float:
     """Return the earlier of a time that may be missing and another one."""
--- a/src/apricotvale/requests/routing.py
+++ b/src/apricotvale/requests/routing.py
@@ -179,6 +179,17 @@
         considered = tuple(CandidateCost(m.name, round(cost, 2)) for cost, _, _, m in costs)
         return Choice(chosen, reason, len(untried), considered)
 
+    def rank(
+        self, preferred: C, candidates: list[C], now: float, excluded: Iterable[str]
+    ) -> list[str]:
+        """Return the incarnations that may receive a request, the preferred one first."""
+        others = [
+            member.incarnation
+            for member in candidates
+            if member.incarnation not in excluded and self.is_healthy(member, now)
+        ]
+        return list(dict.fromkeys([preferred.incarnation, *others]))
+
     def cost_function(
         self, sampled: list[C], now: float, extra_cost: Callable[[C], float]
     ) -> Callable[[C], float]:
