Stop reward calls that crash upstreams

Cause: the leader's reward calls carry no caller. The guard neither looks for evidence nor records nor stops a call without one, and the guard of a control replica was never told what control records.

Ruled out: identities that differ at each send (method, host, path and body are the same; nothing computes one at all), and evidence that is looked for and not found (it would leave connection-lost).

Change: a reward call carries the job's customer as its caller. Each control replica's guard learns what is applied to the record, so that a new leader knows it before its first call. A stopped call takes no slot of its service; it is made again once the record ends. Runs of items are not changed.

Why it works: records, trials and refusal are those of callers' requests.

--- a/src/apricotvale/daemons/crash_guard.py
+++ b/src/apricotvale/daemons/crash_guard.py
@@ -115,6 +115,11 @@
             return None
         return self.known.find(call.identity, now)
 
+    def is_stopped(self, call: Call) -> bool:
+        """Return whether a request is not sent any more."""
+        suspicion = self.suspicion(call, clock.now())
+        return suspicion is not None and suspicion.is_condemned
+
     # Evidence
 
     async def on_loss(self, upstream: Target, supervision: Supervision, started_at: float) -> None:
--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -120,6 +120,7 @@
         self.leaving = LeavingReporter(self.view, self.call)
         self.limit_reporter = LimitReporter(self.view, self.call)
         self.permits = LeaderPermits(self.view, PermitIssuer())
+        self.guard = CrashGuard(settings.name, self.view, client, self.call, lambda: True)
         forwarder = Forwarder(
             settings.site,
             self.view,
@@ -127,7 +128,7 @@
             self.leaving.on_leaving,
             self.limit_reporter.on_limit,
             self.permits,
-            CrashGuard(settings.name, self.view, client, self.call, lambda: True),
+            self.guard,
         )
         self.runner = JobRunner(
             self.state, client, forwarder, self.permits, self.commit_internal, version_field
@@ -187,6 +188,7 @@
             self.load_scheduler.tasks,
             self.leaving.tasks,
             self.limit_reporter.tasks,
+            self.guard.tasks,
             self.duty_tasks,
             TaskGroup() as tasks,
         ):
@@ -222,7 +224,10 @@
         self.replica.node.retiring = frozenset(self.state.retiring)
         self.load_table()
         watched = (self.state.registry.state.position, self.state.table.version)
-        has_news = self.crashes.on_applied(clock.now())
+        now = clock.now()
+        has_news = self.crashes.on_applied(now)
+        # The guard of a replica that begins to lead knows what was found under former leaders.
+        self.guard.on_news(self.crashes.delta(self.guard.known.position, now))
         if watched != self.watched or has_news:
             self.watched = watched
             self.changed.set()
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -36,7 +36,7 @@
 from apricotvale.jobs.store import JobRecord
 from apricotvale.jobs.transcript import Transcript, output_limit
 from apricotvale.mechanisms import Mechanism, is_on
-from apricotvale.outcomes import Refusal
+from apricotvale.outcomes import Reason, Refusal
 from apricotvale.requests.calls import Answer, Call, RunRequest, RunStream, UpstreamClient
 from apricotvale.requests.routing import Pace
 from apricotvale.routes import Route, RouteTable
@@ -619,7 +619,11 @@
     # Rewards and results
 
     async def score(self, run: ItemRun, reward: RewardCall) -> str:
-        """Return the signature of the reward call's answer, empty if the call failed too often."""
+        """Return the signature of the reward call's answer, empty if there will be none.
+
+        The call failed too often, or it ends the upstreams that run it and the item may be
+        abandoned.
+        """
         while True:
             answer: Answer | Refusal | None = None
             route = self.table.match(reward.host, reward.path) if self.table else None
@@ -639,7 +643,20 @@
                 )
                 if run.reward_errors >= route.max_attempts:
                     return ""
-            await asyncio.sleep(self.reward_retry_s(answer))
+            retry_at = clock.now() + self.reward_retry_s(answer)
+            if isinstance(answer, Refusal) and answer.reason is Reason.CRASHES_UPSTREAMS:
+                abandon_at = self.abandon_at(run.job)
+                if abandon_at <= clock.now():
+                    return ""
+                retry_at = min(retry_at, abandon_at)
+            await asyncio.sleep(retry_at - clock.now())
+
+    def abandon_at(self, job: Job) -> float:
+        """Return when the items of a job may be abandoned, on `clock.now`."""
+        route = self.table.match(job.host, job.path) if self.table else None
+        if route is None or not route.keep_ms:
+            return float("inf")
+        return self.seen_at.get(job.job_id, float("inf")) + route.keep_ms / 1000
 
     def reward_retry_s(self, answer: Answer | Refusal | None) -> float:
         """Return the pause before a reward call is sent again."""
@@ -649,17 +666,22 @@
     async def call_reward(self, route: Route, reward: RewardCall, run: ItemRun) -> Answer | Refusal:
         """Send a reward call once the service has a slot for it."""
         service = route.backends[0].service
+        timeout_s = min(REWARD_TIMEOUT_S, route.timeout_ms / 1000)
+        call = Call(
+            "POST",
+            reward.path,
+            reward.host,
+            reward.request_id,
+            reward.body,
+            clock.now() + timeout_s,
+            customer=upstream_customer(self.table, route, run.job.customer),
+            caller=run.job.customer,
+        )
+        if self.forwarder.guard.is_stopped(call):
+            # It needs no slot, and its time says nothing about those of other calls.
+            return await self.forwarder.forward(route, call)
         async with self.rewards.hold(service, partial(self.reward_order, run)):
-            timeout_s = min(REWARD_TIMEOUT_S, route.timeout_ms / 1000)
-            call = Call(
-                "POST",
-                reward.path,
-                reward.host,
-                reward.request_id,
-                reward.body,
-                clock.now() + timeout_s,
-                customer=upstream_customer(self.table, route, run.job.customer),
-            )
+            call = evolve(call, deadline=clock.now() + timeout_s)
             return await self.forwarder.forward(route, call)
 
     def reward_order(self, run: ItemRun) -> Order:
