--- a/tests/test_crashing_reward_calls.py
+++ b/tests/test_crashing_reward_calls.py
@@ -140,3 +140,15 @@
     sent = sends(scoring_site)
     status, _ = await submit(scoring_site, "r-9", path="/fees/i-1")
     assert status == 503 and sends(scoring_site) == sent
+
+
+async def test_a_reward_call_is_stopped_if_upstreams_are_back_at_once(scoring_site):
+    """Guards against ends that no connection shows, found under one id of the call."""
+    for desk in scoring_site.desks:
+        desk.restart_s = 0.0
+    assert await scoring_site.submit("j-1", job(scored_item("i-1"))) == 202
+    await asyncio.sleep(3.0 + CONTACT_S)
+    sent = sends(scoring_site)
+    await asyncio.sleep(3.0)
+    assert sends(scoring_site) <= sent + MAX_LATE_SENDS
+    assert crashes(scoring_site) <= 2 * MAX_CRASHES
