Stop requests that crash upstreams on the path of entries and sidecars

On this path the sidecar sees its upstream close the connection and answers upstream_lost; the entry retries elsewhere and nothing recognizes the request when it comes again.

The change: the same book, control part, guard, supervision and submission serve this path. An entry that loses a request asks the sidecar whether its upstream accepts connections (GET /upstream); the sidecar's own leaving is told apart from an upstream that is down (Member.is_leaving). Idempotent requests are sent by daemons.submission, with the retry state in requests.dispatching; requests that run once get their trial before their claim. Streams are under supervision to their end. Samples and scores are neither blamed nor stopped: they are owed to a trainer.

Also: a refusal says that a request may have run if any of its copies may have (before, the last copy alone decided); a retry of a suspected request is not charged to the retry budget; an ended upstream keeps no ejection, as its sidecar goes on under the same incarnation; a trial whose upstream has left meanwhile is asked for again, on the platform's path too.

--- a/src/apricotvale/control/calls.py
+++ b/src/apricotvale/control/calls.py
@@ -18,6 +18,16 @@
 )
 from apricotvale.control.commands import Command, Result
 from apricotvale.control.configuration import ConfigChange, ConfigDocument
+from apricotvale.crashes.book import SuspectDelta
+from apricotvale.crashes.calls import (
+    BeginTrial,
+    CrashesRecorded,
+    EndTrial,
+    NotSuspected,
+    ReportCrashes,
+    TrialDenied,
+    TrialGranted,
+)
 from apricotvale.membership.roster import Member, RosterDelta
 from apricotvale.requests.claims import OutcomeRecord
 from apricotvale.samples.ledger import StepSpec
@@ -42,6 +52,7 @@
     :param wait_ms: maximum time to wait for changes.
     :param seen: `interest` of the last reply; the reply waits until the value changes.
     :param known_steps: steps whose specification the member already has.
+    :param suspects_position: position of the requests under suspicion that the member knows.
     """
 
     member: Member
@@ -55,6 +66,7 @@
     leaving: bool = False
     seen: int = 0
     known_steps: list[str] = field(factory=list)
+    suspects_position: int = -1
 
 
 @frozen
@@ -67,7 +79,7 @@
     topic: str
 
 
-CallRequest = Propose | Sync | Query | JoinProbe | ReadPart
+CallRequest = Propose | Sync | Query | ReportCrashes | BeginTrial | EndTrial | JoinProbe | ReadPart
 
 
 @frozen
@@ -107,6 +119,7 @@
 
     :param revision: revision of `document`, 0 if the configuration has not changed.
     :param interest: digest of the state that concerns the member, sent back as `Sync.seen`.
+    :param suspects: changes of the requests under suspicion, None if there are none.
     """
 
     roster: RosterDelta
@@ -119,6 +132,7 @@
     steps: list[StepOwnership] = field(factory=list)
     interest: int = 0
     confirmed: bool = False
+    suspects: SuspectDelta | None = None
 
 
 @frozen
@@ -189,7 +203,18 @@
 
 
 CallReply = (
-    Committed | Redirect | Unconfirmed | Invalid | SyncReply | Report | ProbeReply | PartRead
+    Committed
+    | Redirect
+    | Unconfirmed
+    | Invalid
+    | SyncReply
+    | Report
+    | CrashesRecorded
+    | TrialGranted
+    | TrialDenied
+    | NotSuspected
+    | ProbeReply
+    | PartRead
 )
 
 CONTROL = Interface("/apricotvale.Control/Call", CallRequest, CallReply)
--- a/src/apricotvale/control/commands.py
+++ b/src/apricotvale/control/commands.py
@@ -5,6 +5,7 @@
 from attrs import field, frozen
 
 from apricotvale.control.configuration import ConfigApplied, ConfigConflict, ConfigDocument
+from apricotvale.crashes.commands import ClearSuspects, RecordCrashes
 from apricotvale.membership.roster import Departure, Member
 from apricotvale.requests.claims import (
     Claim,
@@ -214,6 +215,8 @@
     | GrantLoads
     | ReportFailures
     | Expire
+    | RecordCrashes
+    | ClearSuspects
 )
 
 
--- a/src/apricotvale/control/state.py
+++ b/src/apricotvale/control/state.py
@@ -10,6 +10,8 @@
 from apricotvale.consensus.messages import Entry, EntryKind, Part
 from apricotvale.control import commands as c
 from apricotvale.control.configuration import ConfigState, Configuration
+from apricotvale.crashes.book import CrashBook, CrashBookState
+from apricotvale.crashes.commands import execute
 from apricotvale.membership.roster import Roster, RosterState
 from apricotvale.requests.claims import Claims, ClaimsState
 from apricotvale.samples.ledger import Ledger, LedgerState
@@ -26,6 +28,7 @@
     ledger: LedgerState = field(factory=LedgerState)
     rollout: RolloutState = field(factory=RolloutState)
     clock_ms: int = 0
+    crashes: CrashBookState = field(factory=CrashBookState)
 
 
 class ControlState:
@@ -45,6 +48,7 @@
         self.ledger = Ledger(image.ledger)
         self.rollout = Rollout(image.rollout)
         self.clock_ms = image.clock_ms
+        self.crashes = CrashBook(image.crashes)
 
     def change_marker(self) -> tuple[int, ...]:
         """Return a marker that changes whenever a waiting sync may have to be answered."""
@@ -53,6 +57,7 @@
             self.roster.state.position,
             self.ledger.changes,
             self.rollout.changes,
+            self.crashes.state.position,
         )
 
     def dump(self) -> bytes:
@@ -64,6 +69,7 @@
             self.ledger.state,
             self.rollout.state,
             self.clock_ms,
+            self.crashes.state,
         )
         return encode(image, StateImage)
 
@@ -100,6 +106,8 @@
                 return self.change_claims(command)
             case c.GrantLoads() | c.ReportFailures() | c.Expire():
                 return self.change_rollout(command, entry)
+            case c.RecordCrashes() | c.ClearSuspects():
+                return c.Done(execute(command, self.crashes, entry.index))
             case c.Publish():
                 self.rollout.set_target(command.model, command.version)
                 return c.Published(self.ledger.publish(command.trainer, command.version))
--- a/src/apricotvale/crashes/evidence.py
+++ b/src/apricotvale/crashes/evidence.py
@@ -81,6 +81,21 @@
     return True if current.born_ms > upstream.born_ms else None
 
 
+@frozen
+class Signs:
+    """What a view of the upstreams shows about the end of one.
+
+    :param is_planned: returns whether an upstream had announced that it leaves.
+    :param has_ended: returns whether it ended without notice, None if that may still show.
+    """
+
+    is_planned: Callable[[Any, Any], bool]
+    has_ended: Callable[[Any, Any], bool | None]
+
+
+REGISTRY_SIGNS = Signs(is_planned, has_ended)
+
+
 @define
 class Losses:
     """Losses without evidence so far."""
--- a/src/apricotvale/crashes/sidecar_evidence.py
+++ b/src/apricotvale/crashes/sidecar_evidence.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from apricotvale.crashes.evidence import Signs
 from apricotvale.membership.roster import Member, RosterView
 
 
@@ -35,3 +36,6 @@
     if current is None:
         return has_successor(member, view)
     return True if current.incarnation != member.incarnation else None
+
+
+ROSTER_SIGNS = Signs(is_planned, has_ended)
--- a/src/apricotvale/daemons/claiming.py
+++ b/src/apricotvale/daemons/claiming.py
@@ -5,18 +5,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from attrs import define, evolve, field
 
-from apricotvale import events
+from apricotvale import clock, events
 from apricotvale.control import commands as c
 from apricotvale.daemons import headers as h
 from apricotvale.daemons.dispatch import Dispatcher
 from apricotvale.daemons.link import ControlClient
+from apricotvale.daemons.supervision import Supervision
 from apricotvale.daemons.upstreams import Answer, SidecarRequest
 from apricotvale.hashing import digest
 from apricotvale.membership.roster import Member
@@ -67,6 +69,7 @@
         limit: int,
         window_ms: int,
         resendable: bool = True,
+        supervision: Supervision | None = None,
     ) -> Answer | Refusal:
         """Run a request at most once, regardless of how often its key is sent.
 
@@ -78,10 +81,14 @@
         :param limit: maximum number of keys recorded.
         :param window_ms: time for which the key is recorded.
         :param resendable: whether the caller chose the key and may have sent it before.
+        :param supervision: what is known against the request, and its trial; None for a request
+            that is not held responsible for the end of an upstream.
         """
-        choice = self.dispatcher.choose(candidates(), request, "", set())
+        choice = await self.choose(candidates, request, set(), supervision)
         if isinstance(choice, Refusal):
-            return await self.replay_recorded(key, request, choice, candidates, resendable)
+            return await self.replay_recorded(
+                key, request, choice, candidates, resendable, supervision
+            )
         claim = Claim(
             key=key,
             digest=request_digest(request),
@@ -99,7 +106,32 @@
             return not_run(Reason.KEYS_FULL, retry_after_s=RETRY_AFTER_S)
         if isinstance(result, Refusal) and resendable:
             return evolve(result, ran=Ran.UNKNOWN)
-        return await self.execute(result, request, candidates)
+        return await self.execute(result, request, candidates, supervision)
+
+    async def choose(
+        self,
+        candidates: Callable[[], list[Member]],
+        request: SidecarRequest,
+        tried: set[str],
+        supervision: Supervision | None,
+    ) -> Choice | Refusal:
+        """Choose an upstream, once the request may be sent: under suspicion, that of its trial."""
+        if supervision is None:
+            return self.dispatcher.choose(candidates(), request, "", tried)
+
+        def rank() -> list[str]:
+            ranked = self.dispatcher.rank(candidates(), "", tried)
+            return [] if isinstance(ranked, Refusal) else ranked
+
+        while True:
+            upstream = await supervision.obtain(rank)
+            if isinstance(upstream, Refusal):
+                return upstream
+            found = [m for m in candidates() if not upstream or m.incarnation == upstream]
+            if found or not upstream:
+                return self.dispatcher.choose(found, request, "", tried)
+            # It left while the trial was asked for.
+            supervision.give_back()
 
     async def replay_recorded(
         self,
@@ -108,12 +140,15 @@
         refusal: Refusal,
         candidates: Callable[[], list[Member]],
         resendable: bool,
+        supervision: Supervision | None,
     ) -> Answer | Refusal:
-        """Answer from the record of a claimed key when no upstream is available, or refuse."""
+        """Answer from the record of a claimed key when it may not be sent now, or refuse."""
+        if not resendable:
+            return refusal
         result = await self.propose(c.LookUpClaim(key, request_digest(request)), request)
         if isinstance(result, ClaimHeld):
-            return await self.execute(result, request, candidates)
-        if isinstance(result, Refusal) and resendable:
+            return await self.execute(result, request, candidates, supervision)
+        if isinstance(result, Refusal):
             return evolve(result, ran=Ran.UNKNOWN)
         return refusal
 
@@ -128,7 +163,11 @@
         return await self.control.propose(command, deadline)
 
     async def execute(
-        self, result: Any, request: SidecarRequest, candidates: Callable[[], list[Member]]
+        self,
+        result: Any,
+        request: SidecarRequest,
+        candidates: Callable[[], list[Member]],
+        supervision: Supervision | None,
     ) -> Answer | Refusal:
         """Send a granted claim or resolve a held one.
 
@@ -137,7 +176,7 @@
         tried: set[str] = set()
         for _ in range(MAX_ATTEMPTS):
             if isinstance(result, ClaimGranted):
-                answer = await self.send(result.claim, request)
+                answer = await self.send(result.claim, request, supervision)
             elif isinstance(result, ClaimHeld):
                 answer = await self.resolve(result.claim, request)
             elif isinstance(result, Refusal):
@@ -152,7 +191,7 @@
             if time.monotonic() >= request.deadline or answer.reason is Reason.DEADLINE_EXPIRED:
                 return answer
             tried.add(result.claim.incarnation)
-            choice = self.dispatcher.choose(candidates(), request, "", tried)
+            choice = await self.choose(candidates, request, tried, supervision)
             if isinstance(choice, Refusal):
                 return answer
             result = await self.reassign(result.claim, choice, request)
@@ -172,7 +211,9 @@
         )
         return await self.propose(command, request)
 
-    async def send(self, claim: Claim, request: SidecarRequest) -> Answer | Refusal:
+    async def send(
+        self, claim: Claim, request: SidecarRequest, supervision: Supervision | None
+    ) -> Answer | Refusal:
         """Send a granted claim to its upstream."""
         events.emit(
             events.CLAIM_GRANTED,
@@ -187,12 +228,31 @@
                 Reason.NO_UPSTREAM, f"upstream {claim.upstream} left or restarted before the send"
             )
         claimed_request = evolve(request, headers={**request.headers, h.TOKEN: claim.token})
-        answer = await self.dispatcher.upstreams.send(member, claimed_request)
+        work = self.dispatcher.upstreams.send(member, claimed_request)
+        if supervision is None:
+            answer = await work
+        else:
+            answer = await self.supervise(supervision, member, work)
         if not isinstance(answer, Refusal):
             return answer  # type: ignore[return-value]
         self.dispatcher.handle_refusal(member, answer)
         return answer
 
+    async def supervise(
+        self, supervision: Supervision, member: Member, work: Coroutine[Any, Any, Any]
+    ) -> Any:
+        """Return the result of a send; see to it that the end of its upstream is known."""
+        sent_at = clock.now()
+        copy = asyncio.ensure_future(work)
+        try:
+            answer = await supervision.watch(copy, member.incarnation)
+        finally:
+            copy.cancel()
+        if isinstance(answer, Refusal) and answer.reason is Reason.UPSTREAM_LOST:
+            await supervision.on_loss(member, sent_at)
+        supervision.finish_copy(not isinstance(answer, Refusal))
+        return answer
+
     async def resolve(self, claim: Claim, request: SidecarRequest) -> Answer | Refusal:
         """Return the outcome of an earlier claim: the recorded one, or that of its upstream."""
         if claim.phase is ClaimPhase.DONE and claim.outcome is not None:
--- a/src/apricotvale/daemons/control.py
+++ b/src/apricotvale/daemons/control.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from attrs import define
 
-from apricotvale import events, metrics
+from apricotvale import clock, events, metrics
 from apricotvale.codec import encode
 from apricotvale.consensus.disk import FolderDisk
 from apricotvale.consensus.storage import Storage
@@ -19,6 +19,7 @@
 from apricotvale.control import commands as c
 from apricotvale.control.configuration import ConfigApplied, ConfigConflict
 from apricotvale.control.state import ControlState
+from apricotvale.daemons.crash_control import CrashControl
 from apricotvale.daemons.peers import fixed_peers
 from apricotvale.daemons.replica import LostLeadership, Replica
 from apricotvale.daemons.rpc_server import ControlService, make_server
@@ -69,6 +70,14 @@
         self.state = ControlState()
         peers = fixed_peers(settings.name, replicas, calls.CONTROL)
         self.replica = Replica(peers, storage, Timing(), self.on_applied, self.state)
+        self.crash_tasks = TaskGroup()
+        self.crashes = CrashControl(
+            lambda: self.state.crashes,
+            self.is_current,
+            self.commit,
+            calls.Committed(c.Done()),
+            self.crash_tasks,
+        )
         self.contacts: dict[str, MemberContact] = {}
         self.leading_term = 0
         self.change_marker: tuple[int, ...] = ()
@@ -84,7 +93,7 @@
         )
         host, _, port = self.settings.listen.rpartition(":")
         await server.start(host, int(port))
-        async with TaskGroup() as tasks:
+        async with self.crash_tasks, TaskGroup() as tasks:
             needed = [tasks.start(part) for part in (self.replica.run(), self.run_leader_tasks())]
             if self.settings.health:
                 app = web.Application()
@@ -125,6 +134,8 @@
             return calls.Redirect(self.replica.leader_address())
         if isinstance(request, calls.Sync):
             return await self.on_sync(request)
+        if isinstance(request, calls.ReportCrashes | calls.BeginTrial | calls.EndTrial):
+            return await self.crashes.on_call(request)
         if isinstance(request, calls.Propose):
             return await self.on_propose(request.command)
         return await self.on_query(request)
@@ -260,6 +271,7 @@
         parts: list[Any] = [state.config.state.revision]
         if member.kind is Kind.ENTRY:
             parts.append(state.roster.state.position)
+            parts.append(state.crashes.state.position)
             parts += [(s.trainer, s.step, s.reopened, s.version) for s in self.owned_steps(member)]
             parts += sorted((n, t.version) for n, t in state.ledger.state.trainers.items())
         else:
@@ -314,10 +326,14 @@
             steps=self.owned_steps(member, sync.known_steps) if is_entry else [],
             interest=self.member_digest(member),
             confirmed=True,
+            suspects=(
+                self.crashes.delta(sync.suspects_position, clock.now()) if is_entry else None
+            ),
         )
 
     def on_applied(self) -> None:
         """Wake waiting syncs if the state has changed in a way that may concern a member."""
+        self.crashes.on_applied(clock.now())
         change_marker = self.state.change_marker()
         if change_marker == self.change_marker:
             return
@@ -336,18 +352,33 @@
         while True:
             await asyncio.sleep(LEADER_TASK_INTERVAL_S)
             if not self.replica.leads:
-                self.leading_term = 0
+                self.stop_term()
                 continue
             self.refresh_deployment()
             self.start_term()
+            if self.is_current():
+                self.crashes.tick(clock.now())
             for command in self.due_commands(time.monotonic()):
                 await self.commit(command)
 
+    def is_current(self) -> bool:
+        """Return whether this replica leads and has applied the entries of all former terms."""
+        node = self.replica.node
+        leads = self.replica.leads and self.leading_term == node.term
+        return leads and node.term_start_index <= node.applied_index
+
+    def stop_term(self) -> None:
+        """Stop what only a leader may do."""
+        if self.leading_term:
+            self.leading_term = 0
+            self.crashes.stop_leading()
+
     def start_term(self) -> None:
-        """Restart every member's lease at the beginning of a term in which this replica leads."""
+        """Begin a term in which this replica leads: every member's lease starts again."""
         if self.leading_term == self.replica.node.term:
             return
         self.leading_term = self.replica.node.term
+        self.crashes.start_leading(clock.now())
         now = time.monotonic()
         for member in self.state.roster.state.members.values():
             self.contacts[member.name] = MemberContact(member.incarnation, now, 0)
--- a/src/apricotvale/daemons/crash_guard.py
+++ b/src/apricotvale/daemons/crash_guard.py
@@ -7,18 +7,16 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
-from attrs import frozen
-
 from apricotvale import clock, events, metrics
 from apricotvale.crashes import calls
 from apricotvale.crashes.book import Crash, CrashReport, SuspectDelta
 from apricotvale.crashes.evidence import (
     LOSS_KEEP_S,
+    REGISTRY_SIGNS,
     Loss,
     Losses,
+    Signs,
     Target,
-    has_ended,
-    is_planned,
 )
 from apricotvale.crashes.known import MAX_OWN, OWN_KEEP_S, KnownSuspect, KnownSuspects
 from apricotvale.daemons.runtime import TaskGroup
@@ -48,21 +46,6 @@
         """Return whether the upstream accepts connections, None if that is not known."""
 
 
-@frozen
-class Signs:
-    """What a view of the upstreams shows about the end of one.
-
-    :param is_planned: returns whether an upstream had announced that it leaves.
-    :param has_ended: returns whether it ended without notice, None if that may still show.
-    """
-
-    is_planned: Callable[[Any, Any], bool]
-    has_ended: Callable[[Any, Any], bool | None]
-
-
-REGISTRY_SIGNS = Signs(is_planned, has_ended)
-
-
 class CrashGuard:
     """What an entry knows of requests that end upstreams, and its submissions in flight.
 
--- a/src/apricotvale/daemons/dispatch.py
+++ b/src/apricotvale/daemons/dispatch.py
@@ -5,14 +5,17 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import Any
 
 from attrs import define, field, frozen
 
-from apricotvale import events, metrics
+from apricotvale import clock, events, metrics
+from apricotvale.daemons.submission import Submission
+from apricotvale.daemons.supervision import Supervision
 from apricotvale.daemons.upstreams import Answer, OpenStream, SidecarRequest, Upstreams
 from apricotvale.membership.roster import Member, RosterView
 from apricotvale.outcomes import Ran, Reason, Refusal
+from apricotvale.requests.calls import Call
+from apricotvale.requests.dispatching import DispatchedRequest
 from apricotvale.requests.retries import RetryBudget
 from apricotvale.requests.routing import Choice, Router
 from apricotvale.settings.schema import TrafficClass
@@ -24,10 +27,14 @@
 
 @frozen
 class MemberAnswer:
-    """An answer with the member that sent it."""
+    """An answer with the member that sent it.
+
+    :param sent_at: when the copy was sent, on `clock.now`, in seconds.
+    """
 
     member: Member
     answer: Answer | OpenStream
+    sent_at: float
 
 
 @define
@@ -65,10 +72,19 @@
             )
         return choice
 
+    def rank(self, candidates: list[Member], affinity: str, tried: set[str]) -> list[str] | Refusal:
+        """Return the incarnations to which a request may be sent, the preferred one first."""
+        now = time.monotonic()
+        choice = self.router.choose(candidates, now, affinity, tried)
+        if isinstance(choice, Refusal):
+            return choice
+        return self.router.rank(choice.member, candidates, now, tried)
+
     async def send(
         self,
         candidates: Callable[[], list[Member]],
         request: SidecarRequest,
+        supervision: Supervision,
         repeatable: bool,
         affinity: str = "",
         hedge_after_s: float = 0.0,
@@ -76,35 +92,43 @@
         """Send a request, retrying until it is answered or cannot be retried.
 
         :param candidates: returns the currently eligible members.
+        :param supervision: what is known against the request, and its trial. A stream that is
+            returned is still under it.
         :param repeatable: whether the request may be sent again after an unknown outcome.
         :param affinity: prompt prefix for affinity routing, or empty.
         :param hedge_after_s: delay before a hedged copy is sent, in seconds; 0 disables hedging.
         """
         self.budget.record_request(time.monotonic())
         self.metrics.count(metrics.REQUESTS)
-        tried: set[str] = set()
-        last: Refusal | None = None
-        for attempt in range(1, len(self.view.members) + MAX_BACKGROUND_ATTEMPTS):
-            choice = self.choose(candidates(), request, affinity, tried)
-            if isinstance(choice, Refusal):
-                if not await self.back_off(request, attempt, tried):
-                    return last or choice
-                last = last or choice
-                tried.clear()
-                continue
-            tried.add(choice.member.incarnation)
-            result = await self.send_hedged(
-                choice.member, candidates, request, hedge_after_s, tried
-            )
-            if isinstance(result, MemberAnswer):
-                return result
-            last = result
-            self.handle_refusal(choice.member, result)
-            if not self.may_retry(request, result, repeatable):
-                return result
-        return last or Refusal(Reason.NO_UPSTREAM, Ran.NOT_RUN)
-
-    async def back_off(self, request: SidecarRequest, attempt: int, tried: set[str]) -> bool:
+        call = supervision.call
+
+        def may_retry(refusal: Refusal) -> bool:
+            is_suspected = supervision.suspicion(clock.now()) is not None
+            return self.may_retry(request, refusal, repeatable, is_suspected)
+
+        state = DispatchedRequest(
+            call.host,
+            call.deadline,
+            repeatable,
+            self.budget,
+            may_retry,
+            len(self.view.members) + MAX_BACKGROUND_ATTEMPTS - 1,
+            hedge_after_s,
+        )
+        with MemberSender(self, candidates, request, affinity) as sender:
+            while True:
+                async with Submission(sender, call, state, supervision) as submission:
+                    result = await submission.run()
+                has_answer = isinstance(result, MemberAnswer)
+                if has_answer or not state.is_exhausted:
+                    break
+                if not await self.back_off(request, state.rounds + 1):
+                    break
+                state.start_over()
+            sender.keep(result)
+            return result
+
+    async def back_off(self, request: SidecarRequest, attempt: int) -> bool:
         """Back off until an upstream may be available; return whether to try again.
 
         Only background requests wait. The number of attempts, the deadline and the retry budget
@@ -121,16 +145,21 @@
         await asyncio.sleep(wait_s)
         return True
 
-    def may_retry(self, request: SidecarRequest, refusal: Refusal, repeatable: bool) -> bool:
+    def may_retry(
+        self, request: SidecarRequest, refusal: Refusal, repeatable: bool, is_suspected: bool
+    ) -> bool:
         """Return whether a failed request is sent to another upstream.
 
-        A retry is charged to the retry budget, unless the upstream refused because it drains.
+        A retry is charged to the retry budget, unless the upstream refused because it drains, or
+        the request is under suspicion: its trials are bounded, and a request that was only beside
+        the one that ended the upstream loses none.
         """
         if refusal.reason in NON_RETRYABLE_REASONS or time.monotonic() >= request.deadline:
             return False
         if refusal.ran is not Ran.NOT_RUN and not repeatable:
             return False
-        if refusal.reason is not Reason.DRAINING and not self.budget.try_spend():
+        is_free = refusal.reason is Reason.DRAINING or is_suspected
+        if not is_free and not self.budget.try_spend():
             return False
         self.metrics.count(metrics.RETRIES)
         events.emit(
@@ -145,60 +174,82 @@
         elif refusal.reason in (Reason.OLD_REVISION, Reason.WRONG_INCARNATION):
             self.on_old_revision()
 
-    async def send_hedged(
-        self,
-        member: Member,
-        candidates: Callable[[], list[Member]],
-        request: SidecarRequest,
-        hedge_after_s: float,
-        tried: set[str],
-    ) -> MemberAnswer | Refusal:
-        """Send a request, and a hedged copy to another upstream if the first is slow."""
-        if not hedge_after_s:
-            return await self.send_once(member, request)
-        first = asyncio.ensure_future(self.send_once(member, request))
-        try:
-            done, _ = await asyncio.wait({first}, timeout=hedge_after_s)
-            choice = None if done else self.choose(candidates(), request, "", tried)
-            if not isinstance(choice, Choice) or not self.budget.try_spend():
-                return await await_or_cancel(first)
-            tried.add(choice.member.incarnation)
-            self.metrics.count(metrics.HEDGES)
-            events.emit(events.HEDGED, request=request.request_id, upstream=choice.member.name)
-            return await self.first_answer(first, choice.member, request)
-        finally:
-            first.cancel()
-
-    async def first_answer(
-        self, first: asyncio.Future[Any], member: Member, request: SidecarRequest
-    ) -> MemberAnswer | Refusal:
-        """Send the hedged copy and return the first answer, or the last refusal.
 
-        The other copy is cancelled.
-        """
-        second = asyncio.ensure_future(self.send_once(member, request))
-        pending: set[asyncio.Future[Any]] = {first, second}
-        result: MemberAnswer | Refusal | None = None
-        try:
-            while pending:
-                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-                for future in done:
-                    result = future.result()
-                    if isinstance(result, MemberAnswer):
-                        return result
-            return result or Refusal(Reason.UPSTREAM_LOST, Ran.UNKNOWN)
-        finally:
-            second.cancel()
-
-    async def send_once(self, member: Member, request: SidecarRequest) -> MemberAnswer | Refusal:
-        """Send a request to one member, without retries."""
-        result = await self.upstreams.send(member, request)
-        return result if isinstance(result, Refusal) else MemberAnswer(member, result)
-
-
-async def await_or_cancel(future: asyncio.Future[Any]) -> Any:
-    """Return a future's result; cancel the future if the caller is cancelled."""
-    try:
-        return await future
-    finally:
-        future.cancel()
+@define
+class MemberSender:
+    """Sends the copies of one request to sidecars; closes the streams that are not kept."""
+
+    dispatcher: Dispatcher
+    candidates: Callable[[], list[Member]]
+    request: SidecarRequest
+    affinity: str
+    opened: list[MemberAnswer] = field(factory=list)
+
+    def __enter__(self) -> MemberSender:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for result in self.opened:
+            assert isinstance(result.answer, OpenStream)
+            result.answer.response.close()
+            self.dispatcher.upstreams.end_stream(result.member)
+
+    def keep(self, result: MemberAnswer | Refusal) -> None:
+        """Leave the stream of a result to the caller."""
+        self.opened = [other for other in self.opened if other is not result]
+
+    def choose(self, request: DispatchedRequest, call: Call, now: float) -> Member | None:
+        """Choose and log the member for the next copy; return None if none is left."""
+        affinity = "" if request.in_flight else self.affinity
+        choice = self.dispatcher.choose(self.candidates(), self.request, affinity, request.tried)
+        if isinstance(choice, Refusal):
+            if not request.in_flight:
+                request.exhaust(choice)
+            return None
+        if request.in_flight:
+            self.dispatcher.metrics.count(metrics.HEDGES)
+            events.emit(events.HEDGED, request=self.request.request_id, upstream=choice.member.name)
+        return choice.member
+
+    def choose_for_trial(
+        self, request: DispatchedRequest, call: Call, incarnation: str
+    ) -> Member | None:
+        """Return and log the member of a trial, None if it serves no more."""
+        found = [m for m in self.candidates() if m.incarnation == incarnation]
+        choice = self.dispatcher.choose(found, self.request, "", set())
+        return None if isinstance(choice, Refusal) else choice.member
+
+    def trial_candidates(self, request: DispatchedRequest, call: Call, now: float) -> list[str]:
+        """Return the incarnations at which a request may be tried, the preferred one first."""
+        found = self.dispatcher.rank(self.candidates(), self.affinity, request.tried)
+        if isinstance(found, Refusal):
+            request.exhaust(found)
+            return []
+        return found
+
+    def is_full(self, request: DispatchedRequest, call: Call, now: float) -> bool:
+        """Return False: sidecars queue requests."""
+        return False
+
+    async def send(self, target: Member, call: Call) -> MemberAnswer | Refusal:
+        """Send a copy to a member."""
+        sent_at = clock.now()
+        result = await self.dispatcher.upstreams.send(target, self.request)
+        if isinstance(result, Refusal):
+            self.dispatcher.handle_refusal(target, result)
+            return result
+        answer = MemberAnswer(target, result, sent_at)
+        if isinstance(result, OpenStream):
+            self.opened.append(answer)
+        return answer
+
+    def finish_copy(self, supervision: Supervision, result: MemberAnswer | Refusal) -> None:
+        """Tell the supervision that a copy has its result; a stream has it at its end."""
+        if isinstance(result, Refusal):
+            supervision.finish_copy(False)
+        elif isinstance(result.answer, Answer):
+            supervision.finish_copy(True)
+
+    def final_result(self, request: DispatchedRequest, call: Call, now: float) -> Refusal:
+        """Return the refusal of a request whose copies gave no answer."""
+        return request.final_result(now)
--- a/src/apricotvale/daemons/entry.py
+++ b/src/apricotvale/daemons/entry.py
@@ -14,10 +14,12 @@
 from aiohttp import web
 from attrs import evolve
 
-from apricotvale import events, metrics
+from apricotvale import clock, events, metrics
 from apricotvale.control.calls import SyncReply
+from apricotvale.crashes.sidecar_evidence import ROSTER_SIGNS
 from apricotvale.daemons import headers as h
 from apricotvale.daemons.claiming import ClaimRunner
+from apricotvale.daemons.crash_guard import CrashGuard
 from apricotvale.daemons.dispatch import Dispatcher, MemberAnswer
 from apricotvale.daemons.link import ControlClient, ControlLink
 from apricotvale.daemons.runtime import (
@@ -29,11 +31,13 @@
 )
 from apricotvale.daemons.steps import StepRunner
 from apricotvale.daemons.streams import STREAM_END
+from apricotvale.daemons.supervision import Supervision
 from apricotvale.daemons.trainers import trainer_routes
 from apricotvale.daemons.upstreams import Answer, OpenStream, SidecarRequest, Upstreams
 from apricotvale.exceptions import BadInputError, bad_input
 from apricotvale.membership.roster import Kind, Member, RosterView, Standing
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run, unknown
+from apricotvale.requests.calls import Call
 from apricotvale.requests.retries import RetryBudget
 from apricotvale.requests.routing import Router, subset
 from apricotvale.samples.store import Payload, PayloadStore
@@ -73,6 +77,17 @@
             settings.control, self.describe, self.current_revision, self.on_reply
         )
         self.link.known_steps = lambda: list(self.runners)
+        self.guard = CrashGuard(
+            settings.name,
+            self.view,
+            self.upstreams,
+            self.link.call_briefly,
+            lambda: self.link.is_fresh,
+            ROSTER_SIGNS,
+            # A sidecar remains when its upstream ends; the upstream is sound once it is back.
+            self.router.succeed,
+        )
+        self.link.suspects_position = lambda: self.guard.known.position
         self.control = ControlClient(settings.control)
         self.dispatcher = Dispatcher(
             self.view,
@@ -106,6 +121,7 @@
             self.upstreams,
             HttpServer(self.make_app(), self.settings.listen) as server,
             self.tasks,
+            self.guard.tasks,
         ):
             events.emit(events.STARTED, listen=self.settings.listen)
             sync_task = self.tasks.start(self.link.run())
@@ -156,6 +172,7 @@
             address=self.settings.advertise or self.settings.listen,
             site=self.settings.site,
             standing=Standing.DRAINING if self.draining else Standing.SERVING,
+            is_leaving=self.draining,
         )
 
     def current_revision(self) -> int:
@@ -163,8 +180,9 @@
         return self.revision
 
     def on_reply(self, reply: SyncReply) -> None:
-        """Apply the roster, a newer configuration and the step ownership of a sync reply."""
+        """Apply the roster, crashes, a newer configuration and step ownership of a sync reply."""
         self.view.apply(reply.roster)
+        self.guard.on_news(reply.suspects)
         self.router.forget_departed({m.incarnation for m in self.view.members.values()})
         if reply.document is not None and reply.revision > self.revision:
             overlay = reply.document.overlays.get(self.settings.site)
@@ -334,6 +352,18 @@
         }
         return web.Response(status=result.status, body=result.body, headers=response_headers)
 
+    def supervise(
+        self, request: SidecarRequest, method: str, host: str, target: str
+    ) -> Supervision:
+        """Return the context in which a caller's request is sent.
+
+        :param host: service or model that is called.
+        :param target: path and query as the caller sent them.
+        """
+        deadline = clock.now() + request.deadline - time.monotonic()
+        call = Call(method, target, host, request.request_id, request.body, deadline, caller="")
+        return self.guard.supervise(call)
+
     # Completions
 
     def engines_for(self, model: str) -> list[Member]:
@@ -380,22 +410,37 @@
             stream=completion["stream"],
         )
         affinity = completion["prompt"][:AFFINITY_PREFIX_CHARS]
-        result = await self.dispatcher.send(
-            lambda: self.engines_for(model), sidecar_request, repeatable=True, affinity=affinity
-        )
+        with self.supervise(sidecar_request, "POST", model, request.path) as supervision:
+            result = await self.dispatcher.send(
+                lambda: self.engines_for(model),
+                sidecar_request,
+                supervision,
+                repeatable=True,
+                affinity=affinity,
+            )
+            if isinstance(result, MemberAnswer) and isinstance(result.answer, OpenStream):
+                return await self.relay(
+                    request, result, result.answer, sidecar_request.deadline, supervision
+                )
         if isinstance(result, Refusal):
             return self.refuse(request, result)
-        if isinstance(result.answer, OpenStream):
-            return await self.relay(request, result, result.answer, sidecar_request.deadline)
+        assert isinstance(result.answer, Answer)
         return self.answer(request, result.answer, result.member.name)
 
     async def relay(
-        self, request: web.Request, result: MemberAnswer, stream: OpenStream, deadline: float
+        self,
+        request: web.Request,
+        result: MemberAnswer,
+        stream: OpenStream,
+        deadline: float,
+        supervision: Supervision,
     ) -> web.StreamResponse:
         """Relay a stream to the caller.
 
         If the stream ends without its end marker, the caller's connection is aborted, so that a
         truncated stream cannot be taken for a complete one.
+
+        :param supervision: learns whether the stream was complete, or its upstream lost.
         """
         response = web.StreamResponse(
             headers={
@@ -405,17 +450,27 @@
             }
         )
         tail = b""
+        is_reading = False
         try:
             await response.prepare(request)
             async with asyncio.timeout(deadline - time.monotonic()):
+                is_reading = True
                 async for chunk in stream.response.content.iter_any():
                     tail = (tail + chunk)[-len(STREAM_END) :]
+                    is_reading = False
                     await response.write(chunk)
-        except (aiohttp.ClientError, TimeoutError, ConnectionError):
+                    is_reading = True
+        except TimeoutError:
+            tail, is_reading = b"", False
+        except (aiohttp.ClientError, ConnectionError):
             tail = b""
         finally:
             stream.response.close()
             self.upstreams.end_stream(result.member)
+        if tail == STREAM_END:
+            supervision.finish_copy(answered=True)
+        elif is_reading:
+            await supervision.on_loss(result.member, result.sent_at)
         if tail != STREAM_END:
             events.emit(events.STREAM_CUT, request=request[REQUEST_ID], upstream=result.member.name)
             if request.transport is not None:
@@ -444,14 +499,17 @@
         if isinstance(body, Refusal):
             return self.refuse(request, body)
         sidecar_request = self.service_request(request, route, path, body)
-        if not route.idempotent:
-            return await self.run_once(request, name, sidecar_request)
-        result = await self.dispatcher.send(
-            lambda: self.replicas_of(name),
-            sidecar_request,
-            repeatable=True,
-            hedge_after_s=route.hedge_after_ms / 1000,
-        )
+        target = sidecar_request.path
+        with self.supervise(sidecar_request, request.method, name, target) as supervision:
+            if not route.idempotent:
+                return await self.run_once(request, name, sidecar_request, supervision)
+            result = await self.dispatcher.send(
+                lambda: self.replicas_of(name),
+                sidecar_request,
+                supervision,
+                repeatable=True,
+                hedge_after_s=route.hedge_after_ms / 1000,
+            )
         if isinstance(result, Refusal):
             return self.refuse(request, result)
         assert isinstance(result.answer, Answer)
@@ -473,7 +531,11 @@
         )
 
     async def run_once(
-        self, request: web.Request, service: str, sidecar_request: SidecarRequest
+        self,
+        request: web.Request,
+        service: str,
+        sidecar_request: SidecarRequest,
+        supervision: Supervision,
     ) -> web.StreamResponse:
         """Run a non-idempotent call at most once.
 
@@ -490,6 +552,7 @@
             control.claims,
             control.claim_window_ms,
             resendable=h.IDEMPOTENCY_KEY in request.headers,
+            supervision=supervision,
         )
         if isinstance(result, Refusal):
             return self.refuse(request, result)
@@ -516,9 +579,16 @@
             time.monotonic() + SCORE_TIMEOUT_S,
             {"X-Method": "POST", "Content-Type": "application/json"},
         )
-        result = await self.dispatcher.send(
-            lambda: self.replicas_of(settings.scorer), sidecar_request, repeatable=True
-        )
+        # Scores belong to samples, which are owed to a trainer, so that they are never stopped.
+        deadline = clock.now() + SCORE_TIMEOUT_S
+        call = Call("POST", "/score", settings.scorer, sidecar_request.request_id, b"", deadline)
+        with self.guard.supervise(call) as supervision:
+            result = await self.dispatcher.send(
+                lambda: self.replicas_of(settings.scorer),
+                sidecar_request,
+                supervision,
+                repeatable=True,
+            )
         if isinstance(result, Refusal) or not isinstance(result.answer, Answer):
             return None
         score = float(json.loads(result.answer.body)["score"])
--- a/src/apricotvale/daemons/link.py
+++ b/src/apricotvale/daemons/link.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from apricotvale import events
+from apricotvale import clock, events
 from apricotvale.control import calls
 from apricotvale.control import commands as c
 from apricotvale.control.calls import CONTROL
@@ -58,12 +58,15 @@
         on_reply: Callable[[calls.SyncReply], None],
     ) -> None:
         self.client = ControlClient(addresses)
+        # Calls with short time limits, which close their connection when they expire.
+        self.brief_client = ControlClient(addresses)
         self.describe = describe
         self.in_force = in_force
         self.on_reply = on_reply
         self.position = 0
         self.seen = 0
         self.known_steps: Callable[[], list[str]] = list
+        self.suspects_position: Callable[[], int] = lambda: -1
         self.outcomes: list[c.OutcomeRecord] = []
         self.failures: list[c.LoadFailure] = []
         self.sync_requested = asyncio.Event()
@@ -77,6 +80,15 @@
         """Whether control has confirmed the view within the lease."""
         return time.monotonic() < self.confirmed_at + self.lease_ms / 1000
 
+    async def call_briefly(self, request: Any, deadline: float) -> Any | Refusal:
+        """Return the leader's reply to a call with a short time limit, or a refusal.
+
+        :param deadline: on `clock.now`, in seconds.
+        """
+        self.brief_client.current_address = self.client.current_address
+        client_deadline = self.brief_client.now() + deadline - clock.now()
+        return await self.brief_client.call(request, client_deadline)
+
     def request_sync(self) -> None:
         """Start the next sync immediately, after a change of the member's state."""
         self.sync_requested.set()
@@ -121,6 +133,7 @@
             leaving=leaving,
             seen=self.seen,
             known_steps=self.known_steps(),
+            suspects_position=self.suspects_position(),
         )
         attempt_timeout_s = wait_ms / 1000 + SYNC_MARGIN_S
         reply = await self.client.call(
@@ -150,3 +163,4 @@
     def close(self) -> None:
         """Close the connections."""
         self.client.close()
+        self.brief_client.close()
--- a/src/apricotvale/daemons/sidecar.py
+++ b/src/apricotvale/daemons/sidecar.py
@@ -21,6 +21,7 @@
 from apricotvale.daemons.gate import AdmissionGate
 from apricotvale.daemons.link import ControlLink
 from apricotvale.daemons.orders import OrderRunner
+from apricotvale.daemons.reachability import accepts_connections
 from apricotvale.daemons.runtime import (
     HttpServer,
     TaskGroup,
@@ -51,6 +52,7 @@
 POLL_INTERVAL_S = 0.2
 POLL_TIMEOUT_S = 1.0
 MAX_POLL_FAILURES = 2
+CONNECT_TIMEOUT_S = 0.5
 MAX_RECORDED_BODY_BYTES = 64 * 1024
 PAYLOAD_STORE_BYTES = 64 * 1024 * 1024
 RESOLVE_POLL_INTERVAL_S = 0.02
@@ -145,6 +147,7 @@
                 web.get("/samples/{attempt}", self.on_payload),
                 web.post("/samples/release", self.on_release),
                 web.post("/drain", self.on_drain),
+                web.get("/upstream", self.on_upstream),
             ]
         )
         return app
@@ -164,6 +167,7 @@
             models=dict(self.models),
             checks_fencing=self.upstream.checks_fencing,
             standing=Standing.DRAINING if unavailable else Standing.SERVING,
+            is_leaving=self.draining,
         )
 
     def current_revision(self) -> int:
@@ -234,6 +238,20 @@
             self.poll_failures += 1
             self.alive = self.alive and self.poll_failures < MAX_POLL_FAILURES
 
+    async def on_upstream(self, request: web.Request) -> web.Response:
+        """Check whether the upstream accepts connections, for an entry that lost a request there.
+
+        An upstream that refuses them gets no new requests from now on. Nothing is known about the
+        upstream of another incarnation of this sidecar.
+        """
+        accepts = None
+        if request.headers.get(h.INCARNATION) == self.incarnation:
+            accepts = await accepts_connections(self.upstream.address, CONNECT_TIMEOUT_S)
+            if accepts is False and self.alive:
+                self.alive = False
+                self.link.request_sync()
+        return web.json_response({"accepts": accepts})
+
     def update_state(self, state: dict[str, Any]) -> None:
         """Update the versions and the instance id from the engine's state report.
 
--- a/src/apricotvale/daemons/submission.py
+++ b/src/apricotvale/daemons/submission.py
@@ -138,7 +138,10 @@
                 return answer
 
     def send_next(self, is_suspected: bool, now: float) -> bool:
-        """Send the next copy if there may be one; return whether it was sent."""
+        """Send the next copy if there may be one; return whether to look for another one.
+
+        If the upstream of a trial accepts no work any more, another trial is asked for.
+        """
         request, supervision = self.request, self.supervision
         if (
             request.may_send(now)
@@ -157,9 +160,10 @@
         else:
             upstream = self.forwarder.choose(request, self.call, now)
         if upstream is None:
+            had_trial = bool(supervision.upstream)
             supervision.give_back()
             request.hedge_at = float("inf")
-            return False
+            return had_trial
         request.begin(upstream.incarnation, now)
         copy = Copy(upstream, now)
         copy.task = asyncio.create_task(self.run_copy(copy))
--- a/src/apricotvale/daemons/upstreams.py
+++ b/src/apricotvale/daemons/upstreams.py
@@ -21,6 +21,7 @@
 HEARTBEAT_INTERVAL_S = 0.5
 HEARTBEAT_TIMEOUT_S = 1.0
 MAX_HEARTBEAT_FAILURES = 2
+CHECK_TIMEOUT_S = 1.0
 
 
 @frozen
@@ -189,6 +190,30 @@
             return OpenStream(response)
         return Answer(response.status, content_type, await response.read())
 
+    async def accepts_connections(self, upstream: Member) -> bool | None:
+        """Return whether the upstream of a sidecar accepts connections, None if not known.
+
+        The sidecar is asked. One that refuses connections itself has ended with its upstream.
+        """
+        url = f"http://{upstream.address}/upstream"
+        fields = {h.INCARNATION: upstream.incarnation}
+        timeout = aiohttp.ClientTimeout(total=CHECK_TIMEOUT_S)
+        try:
+            async with self.session.get(url, headers=fields, timeout=timeout) as response:
+                accepts = (await response.json())["accepts"]
+        except aiohttp.ClientConnectorError as error:
+            return False if isinstance(error.os_error, ConnectionRefusedError) else None
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            ConnectionError,
+            ValueError,
+            KeyError,
+            TypeError,
+        ):
+            return None
+        return accepts if isinstance(accepts, bool) else None
+
     async def run_heartbeats(self) -> None:
         """Send heartbeats to the sidecars that have requests in flight.
 
--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -12,6 +12,7 @@
 from yarl import URL
 
 from apricotvale import clock
+from apricotvale.daemons.reachability import accepts_connections
 from apricotvale.discovery import Upstream
 from apricotvale.exceptions import ApricotvaleError, TruncatedStreamError
 from apricotvale.limits.types import StatedLimit
@@ -113,16 +114,7 @@
 
     async def accepts_connections(self, upstream: Upstream) -> bool | None:
         """Return whether the upstream's address accepts connections, None if that is not known."""
-        host, _, port = upstream.address.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return False
-        except (OSError, ValueError):
-            return None
-        writer.close()
-        return True
+        return await accepts_connections(upstream.address, CONNECT_TIMEOUT_S)
 
     @asynccontextmanager
     async def run(
--- a/src/apricotvale/requests/retries.py
+++ b/src/apricotvale/requests/retries.py
@@ -30,9 +30,14 @@
         added = self.percent / 100 + elapsed * REFILL_TOKENS_PER_S
         self.tokens = min(MAX_TOKENS, self.tokens + added)
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether a retry is allowed."""
+        return self.tokens >= 1.0
+
     def try_spend(self) -> bool:
         """Take a token for one retry; return False if the budget is exhausted."""
-        if self.tokens < 1.0:
+        if not self.has_room:
             return False
         self.tokens -= 1.0
         return True
--- a/tests/site.py
+++ b/tests/site.py
@@ -57,11 +57,16 @@
 
 
 class Site:
-    """Daemons and stand-ins of one site on loopback; control is stopped last."""
+    """Daemons and stand-ins of one site on loopback; control is stopped last.
 
-    def __init__(self, folder):
+    :param replicas: number of control replicas.
+    """
+
+    def __init__(self, folder, replicas=1):
         self.folder = folder
-        self.control = free_address()
+        self.controls = {}
+        self.addresses = [free_address() for _ in range(replicas)]
+        self.control = self.addresses[0]
         self.daemons = []
         self.engines = []
         self.sidecars = []
@@ -69,9 +74,13 @@
 
     async def __aenter__(self):
         self.session = await self.stack.enter_async_context(aiohttp.ClientSession())
-        settings = self.settings("control", self.control, data_folder=str(self.folder))
-        self.control_daemon = ControlDaemon(settings)
-        _, self.control_task = self.start(self.control_daemon)
+        replicas = {f"control-{n}": address for n, address in enumerate(self.addresses)}
+        for name, address in replicas.items():
+            folder = str(self.folder / name)
+            settings = self.settings(name, address, data_folder=folder, replicas=replicas)
+            daemon = ControlDaemon(settings)
+            self.controls[daemon] = self.start(daemon)
+        self.control_daemon = next(iter(self.controls))
         for number in (1, 2):
             await self.add_engine(number)
         self.service = PlainService()
@@ -88,8 +97,8 @@
         return self
 
     async def __aexit__(self, *exc_info):
-        control = [daemon for daemon in self.daemons if daemon[1] is self.control_task]
-        others = [daemon for daemon in self.daemons if daemon[1] is not self.control_task]
+        control = list(self.controls.values())
+        others = [daemon for daemon in self.daemons if daemon not in control]
         for group in (others, control):
             for stop, _ in group:
                 stop.set()
@@ -97,7 +106,7 @@
         await self.stack.aclose()
 
     def settings(self, name, listen, **extra):
-        return ProcessSettings(name=name, site="a", listen=listen, control=[self.control], **extra)
+        return ProcessSettings(name=name, site="a", listen=listen, control=self.addresses, **extra)
 
     def start(self, daemon):
         stop = asyncio.Event()
@@ -105,6 +114,13 @@
         self.daemons.append((stop, task))
         return stop, task
 
+    async def add_entry(self, name):
+        """Start another entry; return it and its address once it has what the first one has."""
+        entry = Entry(self.settings(name, free_address()))
+        self.start(entry)
+        await self.wait(entry.is_ready)
+        return entry, f"http://{entry.settings.listen}"
+
     async def add_engine(self, number):
         engine = Engine(EngineSpec(("m",), step_s=0.002, slots=4, swap_s=0.0))
         address = free_address()
