Take a reply of control as true when it was sent, not when it is read

What callers would see: 404, which they do not repeat, for a route that control acknowledged seconds ago, at an entry with little processor time.

Cause: an entry took its table for confirmed at the moment at which it read the reply of a watch. On a busy VM the reply waits in the socket and in the event loop first.

Change: the leader says how long it held the watch, and the reply counts from the begin of the attempt plus that time. Older replicas say nothing, so that their replies count from the attempt.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -588,7 +588,8 @@
         without waiting for changes. A new leader does the same until it has applied the entries of
         former terms, since it may lack a table that its predecessor has acknowledged.
         """
-        deadline = clock.now() + watch.wait_ms / 1000
+        received_at = clock.now()
+        deadline = received_at + watch.wait_ms / 1000
         must_confirm = watch.confirm or not self.has_former_entries()
         if must_confirm and not await self.replica.confirm():
             return Redirect(self.replica.leader_address())
@@ -613,6 +614,7 @@
             table.document if newer else b"",
             self.replica.addresses(),
             self.crashes.delta(watch.suspects_position, clock.now()),
+            clock.now() - received_at,
         )
 
     # Periodic tasks of the leader
--- a/src/apricotvale/daemons/fleet_link.py
+++ b/src/apricotvale/daemons/fleet_link.py
@@ -106,8 +106,12 @@
                 )
 
     def apply_reply(self, reply: calls.WatchReply) -> None:
-        """Apply the changes of a reply."""
-        self.confirmed_at = clock.now()
+        """Apply the changes of a reply.
+
+        It confirms the view as of when it was sent, not as of now: with little processor time, this
+        process reads it late.
+        """
+        self.confirmed_at = min(clock.now(), self.watch_client.asked_at + reply.held_s)
         if reply.upstreams.upstreams or reply.upstreams.removed or reply.upstreams.full:
             events.emit(
                 events.VIEW_CHANGED,
--- a/src/apricotvale/daemons/leader_client.py
+++ b/src/apricotvale/daemons/leader_client.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any
 
+from apricotvale import clock
 from apricotvale.consensus.calls import Interface, Redirect, Unconfirmed
 from apricotvale.daemons.rpc import RpcClient
 from apricotvale.exceptions import EncodingError
@@ -31,6 +32,8 @@
         self.current_address = addresses[0]
         # The last address that was asked in its turn, and not because a replica named it.
         self.searched_address = addresses[0]
+        # When the latest attempt began, on `clock.now`, in seconds.
+        self.asked_at = float("-inf")
 
     async def call(
         self, request: Any, deadline: float, attempt_timeout_s: float = ATTEMPT_TIMEOUT_S
@@ -51,6 +54,7 @@
                     RETRY_AFTER_S,
                 )
             address = self.current_address
+            self.asked_at = clock.now()
             try:
                 reply = await self.client(address).call(request, min(remaining, attempt_timeout_s))
             except asyncio.CancelledError:
--- a/src/apricotvale/fleet/calls.py
+++ b/src/apricotvale/fleet/calls.py
@@ -415,6 +415,7 @@
 
     :param addresses: addresses of the control replicas, the leader first.
     :param suspects: changes of the requests under suspicion, None if there are none.
+    :param held_s: time between receipt of the watch and this reply, in seconds.
     """
 
     upstreams: UpstreamDelta
@@ -422,6 +423,7 @@
     document: bytes = b""
     addresses: list[str] = field(factory=list)
     suspects: SuspectDelta | None = None
+    held_s: float = 0.0
 
 
 @frozen
