--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -597,10 +597,11 @@
         without waiting for changes. A new leader confirms every watch: until it has applied the
         entries of former terms, its table may be older than an accepted one.
         """
-        confirms = watch.confirm or not self.is_current()
-        if confirms and not await self.replica.confirm():
+        received_at = clock.now()
+        deadline = received_at + watch.wait_ms / 1000
+        must_confirm = watch.confirm or not self.is_current()
+        if must_confirm and not await self.replica.confirm():
             return Redirect(self.replica.leader_address())
-        deadline = clock.now() + watch.wait_ms / 1000
         while not self.stopping:
             registry, table = self.state.registry.state, self.state.table
             has_changes = (
@@ -622,6 +623,7 @@
             table.document if newer else b"",
             self.replica.addresses(),
             self.crashes.delta(watch.suspects_position, clock.now()),
+            clock.now() - received_at,
         )
 
     # Periodic tasks of the leader
