--- a/tests/test_blocked_recovery.py
+++ b/tests/test_blocked_recovery.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from apricotvale.consensus.messages import HardState
+from apricotvale.consensus.storage import Storage
 from tests.lost_disks import Records, confirmed_leader, is_whole, make_group
 from tests.replicas import MemoryDisk
 
@@ -170,6 +172,22 @@
     check_recovery(with_spare)
 
 
+def test_a_replica_with_an_old_snapshot_does_not_lead_while_a_learner_has_more(with_spare):
+    """The group in the snapshot, which a wiped voter has just installed, is without the learner."""
+    group = with_spare.group
+    leader, voter, wiped, learner = hosts_by_role(group)
+    snapshot = leader.node.log.snapshot
+    assert snapshot.index < leader.node.commit_index
+    assert learner.name not in {member.name for member in snapshot.group.members}
+    cut_off(group, [learner])
+    wipe(group, [leader, voter, wiped])
+    storage = Storage(wiped.disk, wiped.name)
+    storage.save_snapshot(snapshot, HardState(snapshot.term), [])
+    check_blocked(group)
+    bring_back(group)
+    check_recovery(with_spare)
+
+
 @pytest.mark.parametrize("is_known", [True, False])
 def test_a_replaced_voter_does_not_lead_the_group_that_it_has_left(with_spare, is_known):
     """The replica that has replaced the voter is cut off; all others are empty.
--- a/tests/test_lost_majority.py
+++ b/tests/test_lost_majority.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from apricotvale.consensus.messages import HardState
+from apricotvale.consensus.storage import Storage
 from tests.lost_disks import Records, is_whole, make_group
 
 RECOVERY_S = 5.0
@@ -176,3 +178,23 @@
     wipe(group, [leader])
     group.run(1.0)
     check_recovery(records)
+
+
+def test_a_replica_that_has_only_the_snapshot_recovers_a_closed_group():
+    """A wiped voter has installed the leader's snapshot, whose group still has its lost folder.
+
+    The names of a closed group never change, so that the snapshot's group has all of them.
+    """
+    records = Records(make_group(3, False))
+    group = records.group
+    assert records.publish(RECOVERY_S)
+    assert group.run_until(group.has_converged)
+    leader = group.leader()
+    installed, *others = other_hosts(group, leader)
+    group.compact(leader)
+    snapshot = leader.node.log.snapshot
+    wipe(group, [installed, leader, *others])
+    storage = Storage(installed.disk, installed.name)
+    storage.save_snapshot(snapshot, HardState(snapshot.term), [])
+    group.run(0.3)
+    check_recovery(records)
