Explore groups that lose more disks than a quorum bears

A world now has disks, which keep what is synced over a restart or miss the next write, replicas that are cut off, repeated wipes with a folder of their own, and messages that go to the address of their target. A disk is wiped only while another one holds every committed entry. A new leader without a majority needs an answer from each voter that has its disk, and the leader of the newest term must hold every committed entry, by content. Learners begin elections, too.

The check of leaders compared the length of the log of any leader, also of one whose term is over and which may lack what was decided since; it now compares the content, at the leader of the newest term.

The orders that lead to an election without a quorum are too long to explore all of them. Random walks of 40 events are followed by the end of all faults, after which a leader has to commit. All orders are explored from worlds in which a voter lacks a command and some disks are lost.

--- a/tests/exploration.py
+++ b/tests/exploration.py
@@ -1,8 +1,8 @@
 """Bounded model checking of a small open group: `python -m tests.exploration DEPTH`, such as 9.
 
-Every order of events is explored up to a depth. A world holds real consensus nodes, whose disks do
-not fail, and the messages in flight. Each node has its own clock, which advances only at that
-node's events, so clocks may differ by any amount. A lost message is one that is never delivered.
+Every order of events is explored up to a depth. A world holds real consensus nodes with their disks
+and the messages in flight. Each node has its own clock, which advances only at that node's events,
+so clocks may differ by any amount. A lost message is one that is never delivered.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 import sys
 from functools import partial
 
-from attrs import define, field
+from attrs import define, evolve, field, frozen
 
 from apricotvale.codec import decode, encode
 from apricotvale.consensus.messages import (
@@ -19,10 +19,13 @@
     GroupMember,
     HardState,
     JoinRequest,
+    PeerMessage,
     Snapshot,
+    VoteReply,
+    VoteRequest,
 )
 from apricotvale.consensus.node import Node
-from apricotvale.consensus.storage import Stored
+from apricotvale.consensus.storage import Stored, TruncateRecord, replay
 from apricotvale.consensus.types import GroupPolicy, Role, Timing
 
 TIMING = Timing(heartbeat_s=0.1, election_timeout_s=0.5)
@@ -30,6 +33,7 @@
 REPLACE_AFTER_S = 0.05
 # Index of the snapshot with the initial group, at which all logs start.
 INITIAL_INDEX = 1
+SETTLE_STEP_S = 0.02
 
 
 def no_jitter():
@@ -38,25 +42,60 @@
 
 @define
 class Budget:
-    """Remaining number of events of each kind."""
+    """Remaining number of events of each kind.
+
+    :param restarts: restarts from the disk, after all writes or in place of the next one.
+    :param cuts: replicas that are cut off; each may be connected again.
+    :param joins: further join requests of empty replicas.
+    """
 
     timeouts: int = 2
     heartbeats: int = 2
     proposals: int = 1
     wipes: int = 1
+    restarts: int = 0
+    cuts: int = 0
+    joins: int = 0
+
+
+@frozen
+class Letter:
+    """A message in flight, with the names of the replicas at its addresses."""
+
+    addresses: tuple[str, ...]
+    message: PeerMessage
+
+    @property
+    def is_pre_vote(self):
+        return isinstance(self.message, VoteRequest | VoteReply) and self.message.pre
 
 
 @define
 class World:
-    """Nodes, their clocks, messages in flight, leaders by term and entries ever committed."""
+    """Nodes with their disks and clocks, messages in flight, and what has happened so far.
+
+    :param disks: what is synced, by name.
+    :param failing: names of the replicas whose next write does not reach the disk.
+    :param cut: names of the replicas that are cut off.
+    :param leaders: data ids of leaders by term.
+    :param committed: entries ever committed.
+    :param answers: voters that granted a vote, by candidate and term.
+    :param eager_pre_votes: pre-votes are delivered at once, in order to reach elections sooner.
+    """
 
     nodes: dict[str, Node]
     clocks: dict[str, float]
     policy: GroupPolicy
     budget: Budget
+    disks: dict[str, Stored]
+    failing: set = field(factory=set)
+    cut: set = field(factory=set)
     in_flight: list = field(factory=list)
     leaders: dict[int, str] = field(factory=dict)
     committed: list = field(factory=list)
+    answers: dict = field(factory=dict)
+    folders: int = 0
+    eager_pre_votes: bool = False
 
     def key(self):
         """Return a hash that identifies the state of this world."""
@@ -69,47 +108,96 @@
                 node.leader_id,
                 node.pre_voting,
                 tuple(sorted(node.votes)),
+                tuple(sorted(node.successors.items())),
+                tuple(sorted(node.empty_members)),
                 tuple((e.index, e.term, e.payload) for e in node.log.entries),
                 node.log.snapshot.index,
                 node.commit_index,
                 tuple(sorted((at, repr(peer)) for at, peer in node.progress.items())),
                 round(self.clocks[name], 3),
                 round(node.election_at, 3),
+                self.disks[name].hard_state,
+                tuple((e.index, e.term) for e in self.disks[name].entries),
             )
             for name, node in sorted(self.nodes.items())
         )
-        flight = tuple(sorted(repr(message) for message in self.in_flight))
-        return hash((nodes, flight, repr(self.budget)))
+        flight = tuple(sorted(repr(letter) for letter in self.in_flight))
+        faults = (tuple(sorted(self.failing)), tuple(sorted(self.cut)))
+        return hash((nodes, flight, faults, repr(self.budget)))
 
     # Events
 
     def events(self):
         """Return the possible next events."""
-        found = [("deliver", at) for at in distinct_positions(self.in_flight)]
+        found = [("deliver", at) for at in distinct_positions(self.in_flight, self.cut)]
         for name, node in sorted(self.nodes.items()):
             leads = node.role is Role.LEADER
             if leads and self.budget.heartbeats:
                 found.append(("heartbeat", name))
             if leads and self.budget.proposals:
                 found.append(("propose", name))
-            if not leads and node.is_voter and self.budget.timeouts:
+            if not leads and node.log.last_index and self.budget.timeouts:
                 found.append(("time out", name))
-            if self.budget.wipes:
+            if self.budget.wipes and self.may_be_wiped(name):
                 found.append(("wipe", name))
+            if self.budget.restarts:
+                found += [("restart", name), ("fail", name)]
+            if name in self.cut:
+                found.append(("connect", name))
+            elif self.budget.cuts:
+                found.append(("cut off", name))
+            if self.budget.joins and not node.log.last_index:
+                found.append(("join", name))
         return found
 
     def apply(self, event):
         """Apply one event and check the invariants."""
         kind, argument = event
-        getattr(self, kind.replace(" ", "_"))(argument)
-        self.check()
+        self.observe(getattr(self, kind.replace(" ", "_")), argument)
+        while self.eager_pre_votes and (pre_votes := self.deliverable_pre_votes()):
+            self.observe(self.deliver, pre_votes[0])
+
+    def observe(self, handle, argument):
+        """Handle one event or message and check the invariants."""
+        before = {node.data_id: node.group for node in self.nodes.values()}
+        handle(argument)
+        self.check(before)
+
+    def deliverable_pre_votes(self):
+        return [
+            at
+            for at, letter in enumerate(self.in_flight)
+            if letter.is_pre_vote and not self.cut.issuperset(letter.addresses)
+        ]
+
+    def deliver_all(self):
+        """Deliver all messages in order, except to replicas that are cut off."""
+        while positions := distinct_positions(self.in_flight, self.cut):
+            self.observe(self.deliver, positions[0])
 
     def deliver(self, at):
-        message = self.in_flight.pop(at)
-        for name, node in self.nodes.items():
-            if message.target in (node.data_id, "") and message.source != node.data_id:
-                node.receive(message, self.clocks[name])
-                self.process_ready(name)
+        letter = self.in_flight.pop(at)
+        message = letter.message
+        for name in letter.addresses:
+            node = self.nodes[name]
+            if name in self.cut or message.source == node.data_id:
+                continue
+            if isinstance(message, VoteRequest):
+                self.pass_election_timeout(name)
+            if isinstance(message, VoteReply) and message.target == node.data_id:
+                self.record_answer(message)
+            node.receive(message, self.clocks[name])
+            self.process_ready(name)
+
+    def pass_election_timeout(self, name):
+        """Advance the clock of a follower, so that an active leader is no reason for a refusal."""
+        silent_at = self.nodes[name].leader_heard_at + TIMING.election_timeout_s
+        if self.eager_pre_votes and self.nodes[name].role is not Role.LEADER:
+            self.clocks[name] = max(self.clocks[name], silent_at)
+
+    def record_answer(self, reply):
+        if reply.granted and not reply.pre:
+            self.answers.setdefault((reply.target, reply.term), set()).add(reply.source)
 
     def heartbeat(self, name):
         self.budget.heartbeats -= 1
@@ -133,37 +221,118 @@
     def wipe(self, name):
         """Replace a node with one that has an empty disk and asks to join."""
         self.budget.wipes -= 1
-        data_id = f"{name}-anew"
-        self.nodes[name] = make_node(name, data_id, Stored(HardState(), None, []), self.policy)
-        self.in_flight.append(JoinRequest(data_id, "", name, name))
+        self.folders += 1
+        self.disks[name] = Stored(HardState(), None, [])
+        self.start(name, f"{name}-{self.folders}")
+        self.ask_to_join(name)
+
+    def may_be_wiped(self, name):
+        """Return whether the disk of another node holds every committed entry."""
+        return any(self.holds_all(disk) for other, disk in self.disks.items() if other != name)
+
+    def holds_all(self, log):
+        contents = [content_of(entry) for entry in log.entries]
+        return contents[: len(self.committed)] == self.committed
+
+    def restart(self, name):
+        self.budget.restarts -= 1
+        self.start(name, self.nodes[name].data_id)
+
+    def fail(self, name):
+        self.budget.restarts -= 1
+        self.failing.add(name)
+
+    def cut_off(self, name):
+        self.budget.cuts -= 1
+        self.cut.add(name)
+
+    def connect(self, name):
+        self.cut.remove(name)
+
+    def join(self, name):
+        self.budget.joins -= 1
+        self.ask_to_join(name)
+
+    def ask_to_join(self, name):
+        self.post(name, JoinRequest(self.nodes[name].data_id, "", name, name))
+
+    def start(self, name, data_id):
+        """Start a node from its disk."""
+        self.failing.discard(name)
+        disk = self.disks[name]
+        stored = Stored(disk.hard_state, disk.snapshot, list(disk.entries))
+        self.nodes[name] = make_node(name, data_id, stored, self.policy, self.clocks[name])
+
+    def post(self, name, message):
+        """Send a message to its target's address, or to all if the target is not a member."""
+        member = self.nodes[name].group.find(message.target)
+        others = tuple(other for other in sorted(self.nodes) if other != name)
+        self.in_flight.append(Letter((member.address,) if member else others, message))
 
     def process_ready(self, name):
-        """Process a node's work as its owner does, with an immediate sync."""
+        """Process a node's work as its owner does, with an immediate sync or a failing one."""
         node = self.nodes[name]
         for _ in range(8):
             ready = node.take_ready(self.clocks[name])
+            for message in ready.messages:
+                self.post(name, message)
+            if name in self.failing and ready.records:
+                self.start(name, node.data_id)
+                return
+            self.write(name, ready)
             node.synced(node.log.last_index, node.log.last_term)
-            self.in_flight += [*ready.messages, *ready.messages_after_sync]
+            for message in ready.messages_after_sync:
+                self.post(name, message)
             if not node.has_work():
                 return
 
+    def write(self, name, ready):
+        """Write a node's records to its disk."""
+        if ready.snapshot is not None:
+            self.disks[name] = Stored(self.nodes[name].hard_state, ready.snapshot, [])
+        for record in ready.records:
+            disk = self.disks[name]
+            if isinstance(record, HardState):
+                self.disks[name] = evolve(disk, hard_state=record)
+            elif isinstance(record, TruncateRecord):
+                kept = [entry for entry in disk.entries if entry.index <= record.last]
+                self.disks[name] = evolve(disk, entries=kept)
+            else:
+                entries = replay(list(disk.entries), record.entries)
+                self.disks[name] = evolve(disk, entries=entries)
+
     # Invariants
 
-    def check(self):
+    def check(self, groups):
+        """Check the invariants after an event.
+
+        :param groups: groups before the event, by data id.
+        """
+        for node in self.nodes.values():
+            if node.role is Role.LEADER and self.leaders.get(node.term) != node.data_id:
+                assert node.term not in self.leaders, f"two leaders in term {node.term}"
+                self.leaders[node.term] = node.data_id
+                self.check_answers(node, groups[node.data_id])
         for node in self.nodes.values():
-            if node.role is Role.LEADER:
-                first = self.leaders.setdefault(node.term, node.data_id)
-                assert first == node.data_id, f"two leaders in term {node.term}"
-                is_up_to_date = node.log.last_index >= len(self.committed) + INITIAL_INDEX
-                assert is_up_to_date, "a leader lacks entries that were decided"
             self.check_committed(node)
+        for node in self.nodes.values():
+            if node.role is Role.LEADER and node.term == max(self.leaders):
+                assert self.holds_all(node.log), "a leader lacks entries that were decided"
+
+    def check_answers(self, node, group):
+        """Check the votes for a new leader, which had this group when it was elected."""
+        granted = {node.data_id, *self.answers.get((node.data_id, node.term), ())}
+        voters = set(group.voters())
+        if len(granted & voters) <= len(voters) // 2:
+            silent = voters.intersection(n.data_id for n in self.nodes.values()) - granted
+            assert not silent, f"a leader has no quorum and no answer from {silent}"
 
     def check_committed(self, node):
         """Check a node's committed entries against all entries ever committed."""
         for entry in node.log.entries:
             if entry.index > node.commit_index:
                 return
-            content = (entry.term, entry.kind, entry.payload)
+            content = content_of(entry)
             position = entry.index - INITIAL_INDEX - 1
             if position == len(self.committed):
                 self.committed.append(content)
@@ -171,19 +340,51 @@
                 self.committed[position] == content
             ), f"entry {entry.index} was decided twice with different content"
 
-
-def distinct_positions(messages):
-    """Return the positions of distinct messages; of equal ones, the first."""
+    # The end of all faults
+
+    def settle(self, rng, seconds):
+        """End all faults and run the group; return whether a leader commits in its term in time."""
+        self.cut.clear()
+        self.failing.clear()
+        now = max(self.clocks.values())
+        until = now + seconds
+        while now < until:
+            now += SETTLE_STEP_S
+            for name, node in self.nodes.items():
+                node.jitter = rng.random
+                self.clocks[name] = now
+                self.observe(self.tick, name)
+                if not node.log.last_index:
+                    self.ask_to_join(name)
+            for _ in self.in_flight[:]:
+                self.observe(self.deliver, 0)
+            if any(
+                node.role is Role.LEADER and node.commit_index >= node.term_start_index
+                for node in self.nodes.values()
+            ):
+                return True
+        return False
+
+
+def content_of(entry):
+    return (entry.term, entry.kind, entry.payload)
+
+
+def distinct_positions(letters, cut=frozenset()):
+    """Return the positions of distinct messages; of equal ones, the first.
+
+    :param cut: names of the replicas that receive no message.
+    """
     seen, found = set(), []
-    for at, message in enumerate(messages):
-        text = repr(message)
-        if text not in seen:
+    for at, letter in enumerate(letters):
+        text = repr(letter)
+        if text not in seen and not cut.issuperset(letter.addresses):
             seen.add(text)
             found.append(at)
     return found
 
 
-def make_node(name, data_id, stored, policy):
+def make_node(name, data_id, stored, policy, now=0.0):
     return Node(
         data_id,
         stored,
@@ -191,32 +392,29 @@
         partial(encode, kind=Group),
         partial(decode, kind=Group),
         no_jitter,
-        0.0,
+        now,
         name,
         policy,
     )
 
 
-def make_world(voters, learners, budget):
+def make_world(voters, learners, budget, is_open=True):
     """Return a group with a leader, which empty replicas have joined as learners."""
     names = "abcdefg"[: voters + learners]
-    policy = GroupPolicy(True, voters, learners, REPLACE_AFTER_S)
+    policy = GroupPolicy(True, voters, learners, REPLACE_AFTER_S) if is_open else GroupPolicy()
     group = Group(tuple(GroupMember(name, name, name) for name in names[:voters]))
-    nodes = {}
+    nodes, disks = {}, {}
     for name in names:
         initial = Snapshot(1, 1, 0, group, b"") if name in names[:voters] else None
-        stored = Stored(HardState(1 if initial else 0), initial, [])
-        nodes[name] = make_node(name, name, stored, policy)
-    world = World(nodes, dict.fromkeys(names, 0.0), policy, Budget(timeouts=1))
-    world.time_out("a")
-    while world.in_flight:
-        world.deliver(0)
+        disks[name] = Stored(HardState(1 if initial else 0), initial, [])
+        nodes[name] = make_node(name, name, disks[name], policy)
+    world = World(nodes, dict.fromkeys(names, 0.0), policy, Budget(timeouts=1), disks)
+    world.observe(world.time_out, "a")
+    world.deliver_all()
     assert nodes["a"].role is Role.LEADER
     for name in names[voters:]:
-        world.in_flight.append(JoinRequest(name, "", name, name))
-    while world.in_flight:
-        world.deliver(0)
-    world.check()
+        world.ask_to_join(name)
+    world.deliver_all()
     world.budget = budget
     # Every follower's election timeout has passed, so that each may request and grant votes.
     for name in names[1:]:
