--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -46,6 +46,8 @@
 SPARE_PROBE_INTERVAL_S = 1.0
 # In an open group, a replica that has heard no leader for this long asks to join again.
 LEADER_SILENCE_S = 1.0
+# A replica whose disk has failed tries this often to load its data folder again.
+DISK_RETRY_S = 1.0
 FIRST_INDEX = 1
 FIRST_TERM = 1
 # A snapshot is saved once this much has been applied since the last one.
@@ -146,6 +148,7 @@
         self.stopped = False
         self.logged_group = Group()
         self.logged_role: tuple[Role, int, str] = (Role.FOLLOWER, 0, "")
+        self.logged_standing: dict[str, str] = {}
         self.node = self.make_node(storage.stored)
         self.check_group()
 
@@ -268,12 +271,47 @@
                 self.reject_pending()
 
     async def run_event_loop(self) -> None:
-        """Process events; after a disk failure, reject all of them."""
-        try:
-            await self.process_events()
-        except DiskError as error:
-            events.emit(events.DISK_FAILED, detail=str(error), code=error.code)
-            await self.reject_until_cancelled()
+        """Process events; after a disk failure, reject all of them until the disk works again."""
+        while True:
+            try:
+                await self.process_events()
+            except DiskError as error:
+                events.emit(events.DISK_FAILED, detail=str(error), code=error.code)
+            await self.reopen_storage()
+
+    async def reopen_storage(self) -> None:
+        """Load the data folder again, and restart the node with it, once the disk accepts writes.
+
+        Load pattern: a disk that is full or refuses writes for some seconds. A replica that stayed
+        out for good would count as lost, although all that it has acknowledged is on its disk.
+
+        :raises DataFolderError: if the folder is damaged.
+        """
+        while True:
+            await self.reject_until(clock.now() + DISK_RETRY_S)
+            try:
+                storage = await self.run_on_disk(self.load_again)
+            except OSError as error:
+                events.emit(events.DISK_FAILED, detail=str(error), code=error.errno or 0)
+                continue
+            break
+        self.storage = storage
+        self.node = self.make_node(storage.stored)
+        self.applied_bytes = self.applied_entries = 0
+        self.on_applied()
+        events.emit(events.DISK_RECOVERED, last_index=self.node.log.last_index)
+
+    def load_again(self) -> Storage:
+        """Load the data folder after a failure, and write the log anew.
+
+        After a failed sync, data that is not on the disk can still be read, and another sync
+        succeeds without writing it.
+
+        :raises OSError: if the disk still fails.
+        """
+        storage = Storage(self.storage.disk, self.name)
+        storage.start_segment(storage.stored.hard_state, storage.stored.entries)
+        return storage
 
     async def process_events(self) -> None:
         """Feed events and the time to the node, and carry out the work it returns."""
@@ -303,12 +341,19 @@
         finally:
             timer.cancel()
 
-    async def reject_until_cancelled(self) -> None:
-        """Answer every call as a replica that does not lead, until cancelled."""
-        while True:
-            self.reject_pending()
-            await self.wake.wait()
-            self.wake.clear()
+    async def reject_until(self, deadline: float) -> None:
+        """Answer every call as a replica that does not lead.
+
+        :param deadline: on `clock.now`, in seconds.
+        """
+        timer = asyncio.get_running_loop().call_later(deadline - clock.now(), self.wake.set)
+        try:
+            while clock.now() < deadline:
+                self.reject_pending()
+                await self.wake.wait()
+                self.wake.clear()
+        finally:
+            timer.cancel()
 
     def reject_pending(self) -> None:
         """Answer all pending and queued calls as a replica that does not lead."""
@@ -550,12 +595,52 @@
             events.emit(
                 events.ROLE_CHANGED, role=node.role, term=node.term, leader=node.leader_name
             )
-
+            if node.role is Role.LEADER and node.recovered_from:
+                events.emit(
+                    events.GROUP_RECOVERED,
+                    term=node.term,
+                    last_index=node.log.last_index,
+                    successors=node.recovered_from,
+                )
+        if node.leader_id:
+            self.logged_standing = {}
         if node.group != self.logged_group:
             self.logged_group = node.group
             members = {member.name: member.voter for member in node.group.members}
             events.emit(events.GROUP_CHANGED, voters=members)
 
+    def log_missing_leader(self, replies: list[ProbeReply]) -> None:
+        """Log what is known of each voter while no leader is heard, whenever that changes."""
+        node = self.node
+        standing = {
+            member.data_id[:8]: f"{member.name} {self.voter_standing(member, replies)}"
+            for member in node.group.members
+            if member.voter
+        }
+        if standing != self.logged_standing:
+            self.logged_standing = standing
+            log = node.log
+            events.emit(
+                events.NO_LEADER,
+                term=node.term,
+                last_index=log.last_index,
+                last_term=log.last_term,
+                quorum=node.group.quorum(),
+                voters=standing,
+            )
+
+    def voter_standing(self, member: GroupMember, replies: list[ProbeReply]) -> str:
+        """Return whether a voter answers, has lost its data folder or gives no answer."""
+        if member.data_id == self.node.data_id:
+            return "answers"
+        address = self.address_of(member)
+        for reply in replies:
+            if reply.data_id == member.data_id:
+                return "answers"
+            if reply.address == address:
+                return "lost its data folder, " + ("empty" if reply.empty else "joined")
+        return "does not answer"
+
     # Forming and joining a group
 
     def is_empty(self) -> bool:
@@ -573,7 +658,9 @@
             if self.is_empty():
                 await self.form_or_join()
             elif self.peers.policy.open and self.has_no_leader():
-                await self.ask_to_join(await self.probe_peers())
+                replies = await self.probe_peers()
+                self.log_missing_leader(replies)
+                await self.ask_to_join(replies)
             elif not self.peers.policy.open:
                 return
             await asyncio.sleep(self.probe_interval_s())
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -257,6 +257,9 @@
 DISK_FAILED = event(
     505, "disk-failed", "ERROR", "A disk write or sync failed; the replica stops voting."
 )
+DISK_RECOVERED = event(
+    516, "disk-recovered", "INFO", "A replica loaded its data folder again; its disk works."
+)
 PEER_LOST = event(507, "peer-lost", "WARNING", "A control replica does not answer a peer.")
 PEER_FOUND = event(508, "peer-found", "INFO", "A control replica answers a peer again.")
 GROUP_CHANGED = event(506, "group-changed", "INFO", "The group of control replicas changed.")
@@ -266,6 +269,18 @@
     "ERROR",
     "The group has fewer voters than the losses that it has to bear need, and no replica joins.",
 )
+NO_LEADER = event(
+    514,
+    "no-leader",
+    "WARNING",
+    "A control replica hears no leader; which voters answer, and which data folders are gone.",
+)
+GROUP_RECOVERED = event(
+    515,
+    "group-recovered",
+    "WARNING",
+    "A control replica leads without a majority of the voters: the others lost their data folders.",
+)
 PART_UNAVAILABLE = event(
     509, "part-unavailable", "WARNING", "A part of a snapshot could not be read or fetched."
 )
