--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -54,7 +54,8 @@
 # enough for one candidate to win before the next one starts.
 LEADER_DOWN_JITTER_FACTOR = 0.15
 # A recovery election takes place in the next term that is a multiple of this number. The lost
-# voters may have voted in terms that no remaining replica knows; none of them is as high.
+# voters may have voted in terms that no remaining replica knows; they cannot have held so many
+# elections since the last term that one knows.
 RECOVERY_TERM_STEP = 1_000_000
 
 
--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -238,9 +238,12 @@
         self.tasks_due.set()
 
     def load_table(self) -> None:
-        """Put the newest table in force for running jobs and ordering loads."""
+        """Put the newest table in force for running jobs and ordering loads.
+
+        The state goes back to a snapshot when the data folder is loaded again.
+        """
         stored = self.state.table
-        if stored.version == self.table_version:
+        if stored.version <= self.table_version:
             return
         self.table_version = stored.version
         try:
--- a/tests/refusing_disk.py
+++ b/tests/refusing_disk.py
@@ -1,4 +1,4 @@
-"""A data folder on a disk that refuses writes."""
+"""Disks that refuse writes."""
 
 from __future__ import annotations
 
@@ -7,19 +7,27 @@
 from apricotvale.consensus.disk import FolderDisk
 
 
-class RefusingDisk(FolderDisk):
-    """A disk that refuses writes while `refuses` is set."""
+class Refusals:
+    """Makes a disk refuse writes while `refuses` is set; what it holds can be read."""
 
     refuses = False
 
     def append(self, name, data):
-        self.check()
+        self.check_refusal()
         super().append(name, data)
 
     def replace(self, name, data, syncs_name=True):
-        self.check()
+        self.check_refusal()
         super().replace(name, data, syncs_name)
 
-    def check(self):
+    def sync(self, name):
+        self.check_refusal()
+        super().sync(name)
+
+    def check_refusal(self):
         if self.refuses:
             raise OSError(errno.ENOSPC, "no space left on device")
+
+
+class RefusingDisk(Refusals, FolderDisk):
+    """A data folder whose disk may refuse writes."""
--- a/tests/test_disk_failure.py
+++ b/tests/test_disk_failure.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 
 import pytest
 
@@ -17,36 +16,19 @@
 from apricotvale.daemons.peers import fixed_peers
 from apricotvale.daemons.replica import LostLeadership, Replica
 from tests.platform_site import table
-from tests.refusing_disk import RefusingDisk
+from tests.refusing_disk import Refusals, RefusingDisk
 from tests.replicas import MemoryDisk
 
 TIMEOUT_S = 10.0
 
 
-class FailingDisk(MemoryDisk):
-    """A disk that refuses all writes while it fails; data that was read is kept."""
-
-    fails = False
-
-    def append(self, name, data):
-        self.check()
-        super().append(name, data)
-
-    def replace(self, name, data, syncs_name=True):
-        self.check()
-        super().replace(name, data, syncs_name)
-
-    def sync(self, name):
-        self.check()
-
-    def check(self):
-        if self.fails:
-            raise OSError(errno.EIO, "the disk refuses writes")
+class RefusingMemoryDisk(Refusals, MemoryDisk):
+    """A disk in memory that may refuse writes."""
 
 
 @pytest.fixture
 def disk():
-    return FailingDisk()
+    return RefusingMemoryDisk()
 
 
 @pytest.fixture
@@ -79,13 +61,13 @@
 
 async def test_a_replica_serves_again_after_its_disk_has_refused_writes(replica, disk):
     await publish(replica, 1)
-    disk.fails = True
+    disk.refuses = True
     assert isinstance(await publish(replica, 2), LostLeadership)
     assert not replica.leads
     await asyncio.sleep(1.5)
     assert not replica.leads, "the replica leads although its disk refuses writes"
     assert not replica.node.leader_id, "callers are sent to a leader of the time before"
-    disk.fails = False
+    disk.refuses = False
     await wait_until(lambda: replica.leads and published(replica) == 1)
     await publish(replica, 3)
     assert published(replica) == 3
