Report an answer only after the crash that is being reported

What callers saw: a request that was only beside one that ends upstreams stayed under suspicion after it was answered, so that its repeats ran one at a time.

Cause: a process knows at once that a request was in flight at an upstream that ended, and reports it to control. If the request is answered while that report is under way, its clear may reach control first, where nothing is recorded yet, and the crash is recorded after it.

Change: the end of a trial waits for a report that is under way. tests/test_crash_clears.py failed before. The test that had failed was run six times alone after it, without a failure; that this race was the whole cause is not proved.

--- a/src/apricotvale/daemons/crash_guard.py
+++ b/src/apricotvale/daemons/crash_guard.py
@@ -317,5 +317,10 @@
         self.tasks.start(self.send_end(request))
 
     async def send_end(self, request: calls.EndTrial) -> None:
-        """Send the end of a trial; without it the trial ends by time."""
+        """Send the end of a trial; without it the trial ends by time.
+
+        An answer clears only what control has recorded, so it waits for a report that is under way.
+        """
+        async with self.reporting_lock:
+            pass
         await self.ask(request, clock.now() + REPORT_INTERVAL_S)
