--- a/tests/test_crash_clears.py
+++ b/tests/test_crash_clears.py
@@ -12,7 +12,7 @@
 
 
 async def test_an_answer_is_reported_after_the_crash_whose_report_is_under_way():
-    """Guards against neighbours of a crash that stay under suspicion although they were answered."""
+    """Guards against neighbours of a crash that stay suspected although they were answered."""
     asked = []
 
     async def ask(request, deadline):
