Forget the lost connections of a request that was answered

Cause, by reading: when an upstream is back before it is checked, the loss waits for a new registration as evidence. If the request is answered meanwhile, nothing is known against it yet and nothing is cleared; the registration then records the crash.

Change: an answer drops the losses of its submission.

--- a/src/apricotvale/crashes/evidence.py
+++ b/src/apricotvale/crashes/evidence.py
@@ -107,6 +107,14 @@
         self.pending.append(loss)
         del self.pending[:-MAX_LOSSES]
 
+    def forget(self, identity: str, request_id: str) -> None:
+        """Drop the losses of a submission that was answered, which clears its request."""
+        self.pending = [
+            loss
+            for loss in self.pending
+            if (loss.identity, loss.request_id) != (identity, request_id)
+        ]
+
     def settle(
         self, view: Any, now: float, ended_in: Callable[[Any, Any], bool | None] = has_ended
     ) -> list[Loss]:
