Count the final fault of the soak from the moment of its kills

The timeline shows the kill 9 ms before the lost connection. The disturbance begins with the kills now; nothing else about the check changes.

--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -199,11 +199,14 @@
         others = play.final.removeprefix("wipe").removeprefix(", ")
         acknowledged = asyncio.get_running_loop().create_future()
 
+        disturbances = []
+
         def on_ack(kind):
             if acknowledged.done() or play.after_job != (kind == "job"):
                 return
             lost = [vm for vm in site.controls if vm.is_lost]
             victim = (lost or [self.find(play.victim)])[0] if wiped else None
+            disturbances.append(site.disturb())
             for vm in site.vms:
                 if others or vm is victim:
                     vm.kill()
@@ -216,7 +219,7 @@
             await asyncio.sleep(0.02)
             if any(not task.done() for task in faults):
                 silent_until = site.now() + RECOVER_S
-        interval = site.disturb()
+        interval = disturbances[0] if disturbances else site.disturb()
         await stop([*faults, *self.callers.changes])
         for link in site.links.find() if site.links else []:
             link.whole.set()
