Log the software version of each run, and the versions that generated an output

No event named a software version, so that a joined output could not be told from a whole one, nor where it was joined: item-placed, item-moved, item-cut and routed name the upstream's version now, item-listed all versions that generated events of the output. No decision changes.

--- a/src/apricotvale/daemons/forwarder.py
+++ b/src/apricotvale/daemons/forwarder.py
@@ -122,6 +122,7 @@
             request=call.request_id,
             route=request.route.name,
             upstream=upstream.incarnation,
+            software=upstream.software,
             why=why,
             candidates=candidates,
             view=self.view.position,
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 from functools import partial
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 
 from apricotvale import clock, events, metrics
 from apricotvale.customers.access import upstream_customer, urgency
@@ -74,6 +74,7 @@
     :param slack_s: the item's latest start minus the start of the run.
     :param is_spare: whether the trainer waits for other groups than the item's.
     :param read_tokens: tokens of the prompt that the engine had not cached.
+    :param software: software versions of the engines that generated the output, for the log.
     """
 
     job: Job
@@ -89,6 +90,7 @@
     slack_s: float = 0.0
     is_spare: bool = False
     read_tokens: int = 0
+    software: list[str] = field(factory=list)
     task: asyncio.Task[None] | None = None
 
 
@@ -425,6 +427,7 @@
                 job=job.job_id,
                 item=item.item_id,
                 upstream=engine.incarnation,
+                software=engine.software,
                 in_flight=usage.in_flight,
                 pace_ms=round(usage.pace.seconds_per_event * 1000, 1),
                 pace_age_ms=round(min(usage.pace.age_s(now), 3600.0) * 1000),
@@ -509,6 +512,7 @@
                         job=run.job.job_id,
                         item=run.item.item_id,
                         upstream=engine.incarnation,
+                        software=engine.software,
                         pace_ms=round(usage.pace.seconds_per_event * 1000, 1),
                         pace_age_ms=round(usage.pace.age_s(clock.now()) * 1000),
                         last_event=run.transcript.last_event_id,
@@ -523,6 +527,7 @@
             job=run.job.job_id,
             item=run.item.item_id,
             upstream=engine.incarnation,
+            software=engine.software,
             why=why,
             last_event=run.transcript.last_event_id,
         )
@@ -561,7 +566,9 @@
                 stalled_at = now + STALL_TIMEOUT_S
             elif now >= stalled_at:
                 raise TimeoutError(f"no event for {STALL_TIMEOUT_S} s")
-            usage.trial_runs += bool(event_count and last_event_at is None)
+            if event_count and last_event_at is None:
+                usage.trial_runs += 1
+                run.software = list(dict.fromkeys([*run.software, engine.software]))
             if (
                 event_count
                 and last_event_at is not None
@@ -584,6 +591,7 @@
             job=run.job.job_id,
             item=run.item.item_id,
             upstream=engine.incarnation,
+            software=engine.software,
             why=f"status {answer.status}",
             errors=run.server_errors,
         )
@@ -733,6 +741,7 @@
                 item=run.item.item_id,
                 state=state,
                 versions=result.versions,
+                software=run.software,
             )
 
     # Lifecycle
