--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -205,6 +205,15 @@
         await self.wait_until(state, lambda found: found == (upstreams, True))
         return second, second_url
 
+    async def wait_until_entry_is_ready(self):
+        """Wait until the entry has the table and all upstreams."""
+        upstreams = len(self.desks) + len(self.engines)
+
+        async def state():
+            return len(self.entry.link.view.upstreams), self.entry.link.table is not None
+
+        await self.wait_until(state, lambda found: found == (upstreams, True))
+
     async def standin(self, name, service, models=None):
         behaviour = "stream" if service == "lm" else "good"
         standin = StandIn(name, service, behaviour, models=models or {})
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -66,6 +66,11 @@
     :param restart_s: time from its end until it is back under its id and address, in seconds.
     :param crashed_by: ids of the requests that ended it.
     :param on_start: awaited when it is back.
+    :param software: version of its software, as its heartbeats state it.
+    :param next_software: its version from the next restart on; None for the same one.
+    :param marks_events: whether the data of an event names the version that generated it.
+    :param mark: name in place of the version; empty for the version.
+    :param cut_after: number of events after which a run breaks off; None for none.
     """
 
     upstream_id: str
@@ -98,6 +103,11 @@
     is_down: bool = False
     port_holder: socket.socket | None = None
     restarts: set = field(factory=set)
+    software: str = "v1"
+    next_software: str | None = None
+    marks_events: bool = False
+    mark: str = ""
+    cut_after: int | None = None
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -134,6 +144,7 @@
         host, _, port = self.address.rpartition(":")
         self.server = await asyncio.start_server(self.serve, host, int(port))
         self.born += 1
+        self.software = self.next_software or self.software
         self.is_down = False
         if self.on_start is not None:
             await self.on_start()
@@ -143,7 +154,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "a",
-            "version": "v1",
+            "version": self.software,
             "capacity": 8,
             "state": state,
             "cold_remaining_ms": 0,
@@ -203,7 +214,8 @@
 
     def report(self):
         models = [{"name": n, "version": v, "adapters": []} for n, v in self.models.items()]
-        return {"stage": "both", "models": models, "busy": False, "sequence": self.orders}
+        report = {"stage": "both", "models": models, "busy": False, "sequence": self.orders}
+        return {**report, "born": self.born}
 
     async def accept_order(self, writer, order):
         if order["fencing_token"] < self.fence:
@@ -285,7 +297,10 @@
             if self.behaviour == "cut stream" and number == start + 2:
                 writer.write(b"9\r\nid: 2\nda")
                 return False
-            event = f"id: {number}\ndata: e{number}\n\n".encode()
+            if self.cut_after is not None and number == start + self.cut_after:
+                return False
+            data = f"{self.mark or self.software}.{number}" if self.marks_events else f"e{number}"
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
             await asyncio.sleep(self.event_s)
