Continue an output only at the software version that began it

Cause: nothing recorded which version began an output. A run went on wherever there was room. Ruled out: knowledge that a former leader had and lost (joined without any change of the leader); the class is work that goes on elsewhere without what it depends on.

Change: the transcript and the saved progress hold their origin, service and version. A run starts only at an engine of that origin, or discards the output first, and begin_run refuses anything else. Saved progress of an unknown origin, as in logs written before, is not used. An output waits for an engine of its origin for as long as its generation took (1 to 8 s, doubled by each time that it was discarded) while one accepts work; else it begins anew where there is room. Moves stay within the origin.

Tried: a wait by the expected pace alone. Before the pace is known it was 3 ms, and with all engines backing off the outputs were discarded in turn for ever.

--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -17,7 +17,7 @@
 from apricotvale.daemons.permits import LeaderPermits
 from apricotvale.daemons.reward_slots import Order, RewardSlots, reward_limit
 from apricotvale.daemons.runtime import TaskGroup
-from apricotvale.discovery import Standing, Upstream
+from apricotvale.discovery import Origin, Standing, Upstream
 from apricotvale.engines.pool import EnginePool, ServiceEngines, services_of
 from apricotvale.engines.priority import run_priority, service_priorities, urgency_class
 from apricotvale.exceptions import TruncatedStreamError
@@ -50,6 +50,9 @@
 # finish earlier; the longest items, which take most of a step's time, are the ones worth saving.
 SAVE_MIN_AGE_S = 1.0
 SAVE_INTERVAL_S = 0.25
+# Shortest time for which an output waits for an engine of its origin, while one accepts work.
+MIN_ORIGIN_WAIT_S = 1.0
+MAX_ORIGIN_WAIT_S = 8.0
 # Used until the first runs are complete.
 INITIAL_SECONDS_PER_TOKEN = 0.001
 # Runs younger than this are not worth moving.
@@ -75,6 +78,8 @@
     :param is_spare: whether the trainer waits for other groups than the item's.
     :param read_tokens: tokens of the prompt that the engine had not cached.
     :param software: software versions of the engines that generated the output, for the log.
+    :param generated_s: time for which engines have generated the output.
+    :param waits_until: until when the output waits for an engine of its origin.
     """
 
     job: Job
@@ -91,8 +96,19 @@
     is_spare: bool = False
     read_tokens: int = 0
     software: list[str] = field(factory=list)
+    generated_s: float = 0.0
+    waits_until: float = float("-inf")
     task: asyncio.Task[None] | None = None
 
+    def origin_wait_s(self) -> float:
+        """Return how long the output waits for an engine of its origin, in seconds.
+
+        Each time that the output was discarded doubles the wait, so that it is complete at last
+        while engines of all origins break off their runs.
+        """
+        wait_s = max(MIN_ORIGIN_WAIT_S, self.generated_s) * 2**self.transcript.restarts
+        return min(wait_s, MAX_ORIGIN_WAIT_S)
+
 
 class JobRunner:
     """Schedules, runs, resumes and scores items.
@@ -215,18 +231,22 @@
         in each pass would take most of the leader's processor time.
         """
         # The memory that an item of a kind was refused for, 0 if no item of the kind can start.
-        refused: dict[tuple[str, str, int], int] = {}
+        refused: dict[tuple[str, str, int, Origin | None], int] = {}
         for candidate in waiting:
             job, item, route = candidate.job, candidate.item, candidate.route
             key = (job.job_id, item.item_id)
             demand = demand_of(job, item)
-            kind = (route.name, demand.model, demand.min_version)
-            if demand.memory_tokens >= refused.get(kind, demand.memory_tokens + 1):
-                continue
-            engine = self.select_engine(route, job, item, now)
-            if engine is None:
-                has_slot = kind in refused or self.has_slot(route, job, item, now)
+            engine = None
+            for origin in self.origins_to_try(route, job, item, now):
+                kind = (route.name, demand.model, demand.min_version, origin)
+                if demand.memory_tokens >= refused.get(kind, demand.memory_tokens + 1):
+                    continue
+                engine = self.select_engine(route, job, item, now, origin)
+                if engine is not None:
+                    break
+                has_slot = kind in refused or self.has_slot(route, job, item, now, origin)
                 refused[kind] = demand.memory_tokens if has_slot else 0
+            if engine is None:
                 continue
             run = self.waiting.pop(key, None) or self.create_run(job, item)
             run.engine, run.started_at, run.move_requested = engine, now, False
@@ -277,7 +297,8 @@
             ):
                 continue
             demand = self.remaining_demand(route, run)
-            other = self.find_engine(route, run.job, run.item, now, demand)
+            origin = run.transcript.origin if run.transcript.data else None
+            other = self.find_engine(route, run.job, run.item, now, demand, origin=origin)
             if other is None or self.permits.rate_of(other) is not None:
                 # A run that has stopped might not get a permit to go on.
                 continue
@@ -311,17 +332,57 @@
             prompt_tokens=demand.prompt_tokens + generated,
         )
 
+    def saved_progress(self, job: Job, item: Item) -> Progress | None:
+        """Return the output that an earlier leader saved, None without one.
+
+        Output of an unknown origin cannot be continued.
+        """
+        record = self.state.jobs.state.records.get(job.job_id)
+        progress = record.progress.get(item.item_id) if record else None
+        return progress if progress is not None and progress.origin is not None else None
+
     def create_run(self, job: Job, item: Item) -> ItemRun:
         """Create the run of an item, with the output that an earlier leader saved."""
         run = ItemRun(job, item, Transcript(self.version_field, output_limit(item)))
-        record = self.state.jobs.state.records.get(job.job_id)
-        progress = record.progress.get(item.item_id) if record else None
+        progress = self.saved_progress(job, item)
         if progress is not None:
             run.transcript.resume(progress)
             run.was_interrupted = True
             run.saved_events = len(progress.data)
         return run
 
+    def interrupted_run(self, job: Job, item: Item, now: float) -> ItemRun | None:
+        """Return the interrupted run of an item, None if it has no output yet."""
+        key = (job.job_id, item.item_id)
+        run = self.waiting.get(key)
+        if run is None and self.saved_progress(job, item) is not None:
+            run = self.waiting[key] = self.create_run(job, item)
+            run.waits_until = now + MIN_ORIGIN_WAIT_S
+        return run if run is not None and run.transcript.data else None
+
+    def origins_to_try(
+        self, route: Route, job: Job, item: Item, now: float
+    ) -> tuple[Origin | None, ...]:
+        """Return the origins whose engines may run an item now, in order; None stands for all.
+
+        An output goes on only at an engine of its origin. While one accepts work, the output waits
+        for about as long as its generation has taken; then it begins anew at an engine of another
+        origin if that has room first.
+        """
+        run = self.interrupted_run(job, item, now)
+        origin = run.transcript.origin if run else None
+        if run is None or origin is None:
+            return (None,)
+        found = self.engines_of(route, now)
+        leaving = self.forwarder.view.leaving
+        serves = any(
+            engine.origin == origin
+            and engine.incarnation in found.ready
+            and engine.incarnation not in leaving
+            for engine in found.engines
+        )
+        return (origin,) if serves and now < run.waits_until else (origin, None)
+
     async def save_progress(self) -> None:
         """Commit the output that long items have generated since the last call."""
         if not is_on(Mechanism.SAVED_PROGRESS):
@@ -356,22 +417,28 @@
         now: float,
         demand: Demand | None = None,
         may_wait: bool = False,
+        origin: Origin | None = None,
     ) -> Upstream | None:
         """Return the engine for an item of a job, or None if no engine can take it.
 
         :param demand: what the item still needs; by default the whole item.
         :param may_wait: whether the item may wait for a faster engine.
+        :param origin: the only origin whose engines may take it; None for any.
         """
         found = self.engines_of(route, now)
         memory_tokens = min((self.memory_tokens(name) for name in services_of(route)), default=0)
         demand = demand or self.demand_of(route, job, item)
         closed = self.forwarder.view.leaving | self.permits.closed(now)
+        if origin is not None:
+            closed = closed | {e.incarnation for e in found.engines if e.origin != origin}
         return self.pool.choose(found, job, item, demand, now, memory_tokens, may_wait, closed)
 
-    def has_slot(self, route: Route, job: Job, item: Item, now: float) -> bool:
+    def has_slot(
+        self, route: Route, job: Job, item: Item, now: float, origin: Origin | None
+    ) -> bool:
         """Return whether an engine could take an item that needs no memory and is never late."""
         demand = Demand(job.model, job.min_version)
-        return self.find_engine(route, job, item, now, demand) is not None
+        return self.find_engine(route, job, item, now, demand, origin=origin) is not None
 
     def engines_of(self, route: Route, now: float) -> ServiceEngines:
         """Return the engines of a route's services."""
@@ -408,13 +475,15 @@
         found = self.table.services.get(service) if self.table else None
         return found.engine.memory_tokens if found and found.engine else 0
 
-    def select_engine(self, route: Route, job: Job, item: Item, now: float) -> Upstream | None:
+    def select_engine(
+        self, route: Route, job: Job, item: Item, now: float, origin: Origin | None
+    ) -> Upstream | None:
         """Return the engine for an item, or None, and log the choice.
 
         The engine counts as having the item's prompt from now on, so that other items of the group
         that start in the same pass find it there.
         """
-        engine = self.find_engine(route, job, item, now, may_wait=True)
+        engine = self.find_engine(route, job, item, now, may_wait=True, origin=origin)
         if engine is not None and not self.permits.take(engine, now):
             return None
         if engine is not None:
@@ -450,6 +519,7 @@
             finally:
                 usage.end(demand_of(run.job, run.item))
                 run.engine = None
+                run.generated_s += clock.now() - run.started_at
             if state is ItemState.COMPLETED and run.item.reward is not None:
                 score = await self.score(run, run.item.reward)
                 state = ItemState.COMPLETED if score else ItemState.FAILED
@@ -457,6 +527,7 @@
                 score = ""
             if state is None:
                 run.was_interrupted = True
+                run.waits_until = clock.now() + run.origin_wait_s()
                 self.waiting[key] = run
                 return
             await self.commit_result(run, state, score)
@@ -466,7 +537,12 @@
     async def generate(
         self, route: Route, run: ItemRun, engine: Upstream, usage: EngineUsage
     ) -> ItemState | None:
-        """Generate the output on an engine; return None if another run has to continue it."""
+        """Generate the output on an engine; return None if another run has to continue it.
+
+        Output that the engine may not continue is discarded.
+        """
+        if not run.transcript.may_continue_at(engine.origin):
+            self.discard_output(run, engine)
         request = RunRequest(
             run.item.path,
             run.job.host,
@@ -500,7 +576,7 @@
                     self.record_version(engine, run.job.model, stream.version)
                     if route.single_version and run.transcript.versions != [stream.version]:
                         run.transcript.restart()
-                        run.saved_events = 0
+                        run.saved_events, run.software = 0, []
                     self.record_read(run, usage, clock.now() - sent_at)
                     completed = await self.read_stream(run, stream, usage, engine)
                     usage.succeed()
@@ -533,6 +609,22 @@
         )
         return None
 
+    def discard_output(self, run: ItemRun, engine: Upstream) -> None:
+        """Discard an output whose origin is unknown, or other than that of its next engine."""
+        origin = run.transcript.origin
+        events.emit(
+            events.OUTPUT_DISCARDED,
+            job=run.job.job_id,
+            item=run.item.item_id,
+            upstream=engine.incarnation,
+            software=engine.software,
+            began_at=origin.software if origin else None,
+            last_event=run.transcript.last_event_id,
+        )
+        metrics.OUTPUTS_DISCARDED.inc()
+        run.transcript.restart()
+        run.saved_events, run.software, run.generated_s = 0, [], 0.0
+
     async def was_complete(self, run: ItemRun, stream: RunStream) -> bool:
         """Return whether the output was already complete when this run resumed it.
 
@@ -549,7 +641,7 @@
         self, run: ItemRun, stream: RunStream, usage: EngineUsage, engine: Upstream
     ) -> bool:
         """Read the events of a run; return True at the output's end, False on a move request."""
-        run.transcript.begin_run(stream.version)
+        run.transcript.begin_run(stream.version, engine.origin)
         chunks = stream.chunks()
         last_event_at: float | None = None
         stalled_at = clock.now() + STALL_TIMEOUT_S
--- a/src/apricotvale/discovery/__init__.py
+++ b/src/apricotvale/discovery/__init__.py
@@ -2,6 +2,7 @@
 
 from apricotvale.discovery.registry import (
     Departed,
+    Origin,
     Registry,
     RegistryState,
     RegistryView,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "Departed",
+    "Origin",
     "Registry",
     "RegistryState",
     "RegistryView",
--- a/src/apricotvale/discovery/registry.py
+++ b/src/apricotvale/discovery/registry.py
@@ -24,6 +24,17 @@
     SILENT = "silent"
 
 
+@frozen
+class Origin:
+    """What generates a text: a service and the version of its upstreams' software.
+
+    The output of one version does not continue that of another one.
+    """
+
+    service: str
+    software: str
+
+
 @frozen
 class Upstream:
     """An upstream as described by its latest heartbeat.
@@ -32,6 +43,7 @@
     :param born_ms: start of this incarnation, in Unix milliseconds of the upstream's clock.
     :param sequence: number of the heartbeat within the incarnation.
     :param capacity: maximum number of concurrent requests.
+    :param software: version of its software, empty if it states none.
     :param models: weight version by model, for model engines.
     :param limit: requests in a second that it takes from all processes together, as it named in its
         answers; None without a limit.
@@ -59,6 +71,11 @@
         """Return the name used in logs."""
         return self.upstream_id
 
+    @property
+    def origin(self) -> Origin | None:
+        """Return the origin of the texts that it generates, None if it states no version."""
+        return Origin(self.service, self.software) if self.software else None
+
     @property
     def order(self) -> tuple[int, int]:
         """Return the key that orders heartbeats of the same upstream."""
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -181,6 +181,9 @@
 ITEM_CUT = event(413, "item-cut", "INFO", "A run of an item ended early or with an error status.")
 ITEM_LISTED = event(414, "item-listed", "INFO", "An item's result was added to the job's results.")
 REWARD_FAILED = event(415, "reward-failed", "INFO", "A reward call got no valid answer.")
+OUTPUT_DISCARDED = event(
+    425, "output-discarded", "INFO", "An output begins anew, at another software version."
+)
 ITEM_MOVED = event(418, "item-moved", "INFO", "A run was moved to another engine.")
 RUNNER_STARTED = event(416, "runner-started", "INFO", "A new leader starts to run the open jobs.")
 RUNNER_STOPPED = event(417, "runner-stopped", "INFO", "A former leader stopped all its runs.")
--- a/src/apricotvale/jobs/transcript.py
+++ b/src/apricotvale/jobs/transcript.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from apricotvale.discovery import Origin
 from apricotvale.exceptions import TruncatedStreamError
 from apricotvale.jobs.types import Item, Progress, join_events
 from apricotvale.numerals import parse_number
@@ -25,6 +26,7 @@
 
     `buffer` holds the bytes of an incomplete event, of which the first `searched` contain no end.
     `size` is the number of bytes in `data`, and `restarts` counts how often it was discarded.
+    `origin` is what generated `data`, None if that is not known.
     """
 
     version_field: str
@@ -37,11 +39,23 @@
     searched: int = 0
     size: int = 0
     restarts: int = 0
+    origin: Origin | None = None
 
-    def begin_run(self, version: int) -> None:
-        """Start a run with its engine's weight version; discard a partial event of the last run."""
+    def may_continue_at(self, origin: Origin | None) -> bool:
+        """Return whether a run at an engine of this origin may continue the output."""
+        return not self.data or (origin is not None and origin == self.origin)
+
+    def begin_run(self, version: int, origin: Origin | None = None) -> None:
+        """Start a run with its engine's weight version; discard a partial event of the last run.
+
+        :param origin: what the engine's output comes from, None if that is not known.
+        :raises TruncatedStreamError: if an engine of another origin began the output.
+        """
+        if not self.may_continue_at(origin):
+            raise TruncatedStreamError(f"{self.origin} began the output, not {origin}")
         self.clear_buffer()
         self.version = version
+        self.origin = origin
 
     def clear_buffer(self) -> None:
         """Discard an incomplete event."""
@@ -115,7 +129,9 @@
     def progress_since(self, item_id: str, start: int) -> Progress:
         """Return the events from number `start` on, with the versions of all events."""
         assert self.last_event_id is not None
-        return Progress(item_id, start, self.last_event_id, list(self.versions), self.data[start:])
+        versions = list(self.versions)
+        data = self.data[start:]
+        return Progress(item_id, start, self.last_event_id, versions, data, self.origin)
 
     def resume(self, progress: Progress) -> None:
         """Restore the output that an earlier leader saved."""
@@ -123,6 +139,7 @@
         self.data = list(progress.data)
         self.versions = list(progress.versions)
         self.size = sum(map(len, self.data))
+        self.origin = progress.origin
 
     def restart(self) -> None:
         """Discard all output."""
@@ -130,6 +147,7 @@
         self.data = []
         self.versions = []
         self.size = 0
+        self.origin = None
         self.restarts += 1
         self.clear_buffer()
 
--- a/src/apricotvale/jobs/types.py
+++ b/src/apricotvale/jobs/types.py
@@ -6,6 +6,8 @@
 
 from attrs import field, frozen
 
+from apricotvale.discovery import Origin
+
 
 class ItemState(StrEnum):
     """The final state of an item."""
@@ -101,6 +103,7 @@
     :param start: number of events that precede these.
     :param last_event_id: id of the last event in `data`.
     :param versions: all weight versions that contributed to the output so far.
+    :param origin: what generated the output, None if that is not known.
     """
 
     item_id: str
@@ -108,6 +111,7 @@
     last_event_id: int
     versions: list[int]
     data: list[bytes]
+    origin: Origin | None = None
 
 
 def join_events(data: list[bytes]) -> bytes:
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -41,6 +41,9 @@
     "apricotvale_requests_stopped", "Requests refused because upstreams ended while running them."
 )
 ITEMS_TOTAL = Counter("apricotvale_items", "Ends of runs of items.", ["outcome"])
+OUTPUTS_DISCARDED = Counter(
+    "apricotvale_outputs_discarded", "Outputs begun anew at another software version."
+)
 KEYS_REJECTED = Counter(
     "apricotvale_keys_rejected", "Requests refused because their key is missing or not known."
 )
