Confirm which start of an upstream generates a stream

Callers saw: a text joined from two versions where an upstream was back under its id and address with other software before control knew of it.

Cause: where ids are used again, a request that states the id reaches any start of the upstream, while the version is taken from the last heartbeat. Heartbeats may be seconds late, so that no later one proves the start either.

Change: the client asks for a report after the head of a stream, once for each connection, which leads to one start only. A stream that is not confirmed goes on with nothing, and what it began is recorded as of unknown origin: an output begins anew, a take-up is refused. Where each start has an id of its own nothing is asked.

Tests that count connections of runs leave the report out, or use an upstream without a start time.

--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -569,6 +569,8 @@
                     if await self.was_complete(run, stream):
                         return ItemState.COMPLETED
                     why = "engine reported no weight version"
+                elif run.transcript.data and not stream.is_confirmed:
+                    why = "the engine may have started again with other software"
                 elif stream.version < run.job.min_version:
                     why = f"version {stream.version} is below the minimum {run.job.min_version}"
                     self.record_version(engine, run.job.model, stream.version)
@@ -641,7 +643,8 @@
         self, run: ItemRun, stream: RunStream, usage: EngineUsage, engine: Upstream
     ) -> bool:
         """Read the events of a run; return True at the output's end, False on a move request."""
-        run.transcript.begin_run(stream.version, engine.origin)
+        origin = engine.origin if stream.is_confirmed else None
+        run.transcript.begin_run(stream.version, origin)
         chunks = stream.chunks()
         last_event_at: float | None = None
         stalled_at = clock.now() + STALL_TIMEOUT_S
--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -11,7 +11,7 @@
 import attrs
 from yarl import URL
 
-from apricotvale import clock
+from apricotvale import clock, events
 from apricotvale.daemons.reachability import accepts_connections
 from apricotvale.discovery import Upstream
 from apricotvale.exceptions import ApricotvaleError, TruncatedStreamError
@@ -132,6 +132,7 @@
                 )
                 if is_stream(response, call.request_id):
                     result = PlatformStream(response, call.request_id)
+                    result.is_confirmed = await self.is_from(upstream, response)
                 else:
                     result = await read_answer(response, call.request_id, self.held)
         except (aiohttp.ClientError, OSError, ValueError, OversizedAnswerError) as error:
@@ -144,6 +145,34 @@
         limit = stated_limit(response, call.request_id)
         return with_statements(result, says_leaving(response), limit)
 
+    async def is_from(self, upstream: Upstream, response: aiohttp.ClientResponse) -> bool:
+        """Return whether a response comes from an incarnation, and not from a later one.
+
+        An upstream may start again under its id and address, with other software, before control
+        knows. Its report names the start; as it was fetched after the head of the response, an
+        incarnation that it names has sent the head too. A connection leads to one incarnation, so
+        that one report is enough for all of its responses.
+        """
+        if not upstream.born_ms:
+            # Each start has an id of its own, which the request states.
+            return True
+        connection = response.connection
+        protocol = connection.protocol if connection else None
+        if isinstance(protocol, UpstreamConnection) and protocol.confirmed == upstream.incarnation:
+            return True
+        report = await self.report(upstream)
+        is_confirmed = isinstance(report, EngineReport) and report.born_ms == upstream.born_ms
+        if not is_confirmed:
+            events.emit(
+                events.INCARNATION_UNCONFIRMED,
+                upstream=upstream.incarnation,
+                software=upstream.software,
+                report=report.detail if isinstance(report, Refusal) else report.born_ms,
+            )
+        elif isinstance(protocol, UpstreamConnection):
+            protocol.confirmed = upstream.incarnation
+        return is_confirmed
+
     async def accepts_connections(self, upstream: Upstream) -> bool | None:
         """Return whether the upstream's address accepts connections, None if that is not known."""
         return await accepts_connections(upstream.address, CONNECT_TIMEOUT_S)
@@ -183,6 +212,7 @@
                     )
                     if response.status == 200 and answers_request(response, request.request_id):
                         result = PlatformRun(response, request.request_id)
+                        result.is_confirmed = await self.is_from(upstream, response)
                     else:
                         result = await read_answer(
                             response, request.request_id, self.held, MAX_STATUS_BYTES
--- a/src/apricotvale/platform/connections.py
+++ b/src/apricotvale/platform/connections.py
@@ -34,10 +34,12 @@
     aiohttp would return a response that arrives between two requests as the answer to the later
     one. This class closes the connection instead, so that the next request uses a new one.
 
+    `confirmed` is the incarnation that is known to be at the other end, empty if none is.
     `was_reset` states whether the connection ended with a reset. A response without a length ends
     when its connection closes, and aiohttp treats a reset as that end.
     """
 
+    confirmed = ""
     was_reset = False
     # Whether the head of the current request's answer has arrived.
     has_answer = False
--- a/src/apricotvale/platform/wire.py
+++ b/src/apricotvale/platform/wire.py
@@ -294,6 +294,7 @@
         natural_field(document, "sequence"),
         typed_field(document, "busy", bool),
         parse_models(document),
+        natural_field(document, "born", 0),
     )
     if report.orders < 0 or any(version < 0 for version in report.models.values()):
         raise BadInputError("a number of orders or a version is negative")
--- a/src/apricotvale/weights/messages.py
+++ b/src/apricotvale/weights/messages.py
@@ -33,11 +33,13 @@
 
     :param orders: number of orders accepted since the engine's start.
     :param busy: whether an order is in progress.
+    :param born_ms: start of the engine as its heartbeats state it, 0 if the report states none.
     """
 
     orders: int
     busy: bool
     models: dict[str, int]
+    born_ms: int = 0
 
 
 @frozen
--- a/tests/raw_upstream.py
+++ b/tests/raw_upstream.py
@@ -75,7 +75,7 @@
     @property
     def upstream(self):
         host, port = self.server.sockets[0].getsockname()[:2]
-        return Upstream("i-1", 1, 1, "lm", f"{host}:{port}", "a", 8, Standing.READY)
+        return Upstream("i-1", 0, 1, "lm", f"{host}:{port}", "a", 8, Standing.READY)
 
 
 def resident_bytes():
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -168,11 +168,36 @@
     headers = {"Model": "m", "tenant": "other", "x-Api-key": "key-1"}
     request = evolve(make_run_request(), headers=headers, customer=customer)
     await read_run(client, standin, request)
-    (received,) = standin.requests
+    (received,) = runs_of(standin)
     assert (received.headers.get("tenant"), received.headers.get("x-api-key")) == (tenant, key)
     assert received.headers["model"] == "m"
 
 
+def runs_of(standin):
+    """Return the requests that were no management calls."""
+    return [request for request in standin.requests if request.target != "/api/report"]
+
+
+@pytest.mark.parametrize("born, is_confirmed", [(1, True), (2, False)])
+async def test_a_run_is_confirmed_once_for_each_connection(client, standin, born, is_confirmed):
+    """Guards against a later start of the upstream under its id, which has other software."""
+    standin.behaviour, standin.born = "stream", born
+    for _ in range(3):
+        async with client.run(make_upstream(standin), make_run_request()) as stream:
+            assert stream.is_confirmed is is_confirmed
+            assert [chunk async for chunk in stream.chunks()]
+    reports = len(standin.requests) - len(runs_of(standin))
+    assert (len(runs_of(standin)), reports) == (3, 1 if is_confirmed else 3)
+
+
+async def test_an_upstream_with_a_new_id_at_each_start_is_not_asked(client, standin):
+    standin.behaviour = "stream"
+    upstream = evolve(make_upstream(standin), born_ms=0)
+    async with client.run(upstream, make_run_request()) as stream:
+        assert stream.is_confirmed
+    assert len(standin.requests) == 1
+
+
 async def test_a_run_resumes_after_an_event(client, standin):
     standin.behaviour = "stream"
     _, data = await read_run(client, standin, make_run_request(2))
@@ -198,7 +223,7 @@
     async with client.run(make_upstream(standin), make_run_request()) as stream:
         await anext(stream.chunks())
     await asyncio.sleep(0.1)
-    assert not standin.writers
+    assert not standin.writers - standin.managed
 
 
 # Load orders
--- a/tests/test_stream_takeups.py
+++ b/tests/test_stream_takeups.py
@@ -192,3 +192,39 @@
             chats.session, chats.url, f"t-{received.request_id}", "/chats/other", **fields
         )
         assert other.status == 400
+
+
+async def test_a_stream_does_not_go_on_at_a_later_start_of_its_upstream(chats):
+    """Guards against an upstream that is back under its id and address with other software.
+
+    Its heartbeats of before are still what control knows.
+    """
+    begun = await begin_streams(chats, count=6)
+    for engine, software in zip(chats.engines, ("v2", "v1"), strict=True):
+        engine.next_software, engine.restart_s = software, 0.02
+        engine.crash()
+        chats.states[engine.upstream_id] = "silent"
+    await asyncio.sleep(0.1)
+    pairs = await take_up_all(chats, begun)
+    assert_not_joined(pairs)
+
+
+async def test_a_stream_that_began_at_a_later_start_is_not_taken_up(chats):
+    """Guards against a record that names the version before the restart."""
+    for engine, software in zip(chats.engines, ("v2", "v1"), strict=True):
+        engine.next_software, engine.restart_s = software, 0.02
+        engine.crash()
+    await asyncio.sleep(0.1)
+    begun = await asyncio.gather(
+        *(read_stream(chats.session, chats.url, f"r-{n}", f"/chats/{n}", 4) for n in range(STREAMS))
+    )
+    await chats.send_heartbeats()
+
+    async def known():
+        upstreams = chats.entry.link.view.upstreams.values()
+        return {u.upstream_id: u.software for u in upstreams if u.service == "lm"}
+
+    await chats.wait_until(known, lambda found: found == {"e-0": "v2", "e-1": "v1"})
+    pairs = await take_up_all(chats, [r for r in begun if r.events])
+    assert_not_joined(pairs)
+    assert pairs
