Begin an output anew when its engine has another weight version and only one is allowed

Callers saw, on routes with single_version: an output without its beginning, listed as completed.

Cause: a run that goes on after event n learns the weight version from its head. If that was another one, the earlier output was discarded and this run's events, from n + 1 on, became the whole output.

Change: the output is discarded and the item waits for another run, which begins at the first event.

--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -576,9 +576,14 @@
                     self.record_version(engine, run.job.model, stream.version)
                 else:
                     self.record_version(engine, run.job.model, stream.version)
-                    if route.single_version and run.transcript.versions != [stream.version]:
-                        run.transcript.restart()
-                        run.saved_events, run.software = 0, []
+                    if (
+                        route.single_version
+                        and run.transcript.data
+                        and run.transcript.versions != [stream.version]
+                    ):
+                        # This run goes on after the output that is discarded.
+                        self.discard_output(run, engine)
+                        return None
                     self.record_read(run, usage, clock.now() - sent_at)
                     completed = await self.read_stream(run, stream, usage, engine)
                     usage.succeed()
@@ -612,7 +617,7 @@
         return None
 
     def discard_output(self, run: ItemRun, engine: Upstream) -> None:
-        """Discard an output whose origin is unknown, or other than that of its next engine."""
+        """Discard an output that the next engine may not continue."""
         origin = run.transcript.origin
         events.emit(
             events.OUTPUT_DISCARDED,
@@ -621,6 +626,7 @@
             upstream=engine.incarnation,
             software=engine.software,
             began_at=origin.software if origin else None,
+            versions=run.transcript.versions,
             last_event=run.transcript.last_event_id,
         )
         metrics.OUTPUTS_DISCARDED.inc()
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -188,7 +188,10 @@
 ITEM_LISTED = event(414, "item-listed", "INFO", "An item's result was added to the job's results.")
 REWARD_FAILED = event(415, "reward-failed", "INFO", "A reward call got no valid answer.")
 OUTPUT_DISCARDED = event(
-    425, "output-discarded", "INFO", "An output begins anew, at another software version."
+    425,
+    "output-discarded",
+    "INFO",
+    "An output begins anew, under another software or weight version.",
 )
 ITEM_MOVED = event(418, "item-moved", "INFO", "A run was moved to another engine.")
 INCARNATION_UNCONFIRMED = event(
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -42,7 +42,7 @@
 )
 ITEMS_TOTAL = Counter("apricotvale_items", "Ends of runs of items.", ["outcome"])
 OUTPUTS_DISCARDED = Counter(
-    "apricotvale_outputs_discarded", "Outputs begun anew at another software version."
+    "apricotvale_outputs_discarded", "Outputs begun anew under another software or weight version."
 )
 FIRST_EVENT_SECONDS = Histogram(
     "apricotvale_first_event_seconds",
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -7,7 +7,7 @@
 import pytest
 
 from apricotvale.daemons import job_runner
-from tests.platform_site import item, job
+from tests.platform_site import item, job, table
 
 ITEMS = 8
 EVENTS = 12
@@ -122,3 +122,20 @@
     versions.engines[0].restart_s = 3600.0
     versions.engines[0].crash()
     assert_whole(await versions.all_results("j-1", ITEMS))
+
+
+async def test_an_output_of_one_weight_version_begins_whole_at_the_next(versions):
+    """Guards against an output without its beginning, where no second weight version is allowed."""
+    document = table(2)
+    document["routes"][1]["single_version"] = True
+    await versions.put_table_until_accepted(document)
+    versions.engines[1].software = "v1"
+    for engine in versions.engines:
+        engine.born += 1
+        engine.cut_after = 5
+    await versions.send_heartbeats()
+    await submit(versions)
+    await asyncio.sleep(0.4)
+    for engine in versions.engines:
+        engine.models, engine.cut_after = {"m": 2}, None
+    assert_whole(await versions.all_results("j-1", ITEMS))
