Soak streams of two software versions over processes, with all entries killed at once

Six callers read streams of a resumable route at any entry and take up what breaks off, over two engines of each version that crash and come back, also under their id and address with the other version. Checks: no stream and no output joined, no event missing or twice, whole means all events, take-ups at half the rate of new streams or better while two engines of their version serve.

--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -76,6 +76,10 @@
                 vm.delay_syncs(self.site.sync_s)
             case "hup":
                 vm.signal(signal.SIGHUP)
+            case "kill entries":
+                await asyncio.gather(
+                    *(self.end(entry, "kill", fault.lasts_s) for entry in self.site.entries)
+                )
             case "kill all" | "power all":
                 ends = [self.end(v, fault.kind[:-4], fault.lasts_s) for v in self.site.controls]
                 await asyncio.gather(*ends)
@@ -175,6 +179,7 @@
                 await stop(self.callers.changes)
                 await self.read_back(back_at)
                 self.callers.check_added_routes()
+                self.callers.streams.check_share()
                 await stop([watch])
         finally:
             site.close()
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -16,8 +16,10 @@
 from tests.platform_site import HOST, item, job
 from tests.platform_standin import StandIn
 from tests.soak_documents import configuration, invalid_configurations, route
+from tests.soak_streams import SOFTWARE, StreamCallers
 
 HEARTBEAT_S = 0.5
+STREAM_CALLERS = 6
 CALL_S = 1.0
 CONFIG_APPLY_S = 2.0
 SETTLE_S = 1.0
@@ -83,6 +85,7 @@
     changes: list = field(factory=list)
     traffic: list = field(factory=list)
     on_ack: Callable = lambda kind: None
+    streams: StreamCallers | None = None
     session: aiohttp.ClientSession | None = None
     kept: aiohttp.ClientSession | None = None
 
@@ -93,13 +96,16 @@
         self.session = await enter(aiohttp.ClientSession(connector=connector))
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=60)
         self.kept = await enter(aiohttp.ClientSession(connector=connector))
-        for name, service in (("d-0", "desk"), ("e-0", "lm"), ("e-1", "lm")):
-            behaviour = "stream" if service == "lm" else "slow"
-            models = {"m": 1} if service == "lm" else {}
-            standin = StandIn(name, service, behaviour, models=models, slow_s=0.05)
+        self.streams = StreamCallers(self.site, self.rng, self.counts)
+        self.standins.append(await enter(StandIn("d-0", "desk", "slow", slow_s=0.05)))
+        for number, software in enumerate(SOFTWARE):
+            standin = StandIn(f"e-{number}", "lm", "stream", models={"m": 1})
+            self.streams.prepare(standin, software)
             self.standins.append(await enter(standin))
         changes = [self.operate(), self.read_configurations(), self.train(), self.read_jobs()]
         traffic = [self.use_entry(entry) for entry in self.site.entries for _ in range(2)]
+        traffic += [self.streams.crash_engines()]
+        traffic += [self.streams.read_streams() for _ in range(STREAM_CALLERS)]
         self.changes = [asyncio.create_task(part) for part in changes]
         self.traffic = [asyncio.create_task(part) for part in [self.send_heartbeats(), *traffic]]
         return self
@@ -136,6 +142,8 @@
             await asyncio.gather(asyncio.sleep(HEARTBEAT_S), *calls)
 
     async def send_heartbeat(self, standin, sequence):
+        if standin.is_down:
+            return
         body = json.dumps(standin.heartbeat(sequence)).encode()
         for vm in self.rng.sample(self.site.controls, 3):
             url = f"{vm.url}/api/replicas/{standin.upstream_id}"
@@ -330,6 +338,8 @@
                     self.site.fail("TWICE", f"{where}: {position} was {former}, is {result}")
                 elif result["state"] != "completed":
                     self.counts["failed results"] += 1
+                elif len({line.partition(".")[0] for line in result["output"].split("\n")}) > 1:
+                    self.site.fail("ORDER output", f"{where}: {result['output'].split()}")
         elif status in (404, 410) and sent_at > accepted.accepted_at + SETTLE_S:
             self.counts["jobs unknown"] += 1
             if self.site.was_calm(sent_at - CALM_S):
--- a/tests/soak_documents.py
+++ b/tests/soak_documents.py
@@ -5,6 +5,7 @@
 import json
 
 from tests.platform_site import table
+from tests.stream_callers import CHATS
 
 
 def route(name, **changes):
@@ -14,7 +15,7 @@
 
 def configuration(version, added, **changes):
     """Return the document of a configuration with a route for each of the versions in `added`."""
-    routes = [*table(version)["routes"], *(route(f"v{number}") for number in added)]
+    routes = [*table(version)["routes"], CHATS, *(route(f"v{number}") for number in added)]
     return json.dumps(table(version, routes=routes, **changes)).encode()
 
 
--- a/tests/soak_plays.py
+++ b/tests/soak_plays.py
@@ -13,8 +13,8 @@
 CONTROL_KINDS = ["kill", "freeze", "term", "hup", "wipe", "power", "slow", "stall"]
 CONTROL_KINDS += ["kill all", "power all"]
 CONTROL_WEIGHTS = [4, 5, 3, 1, 4, 3, 2, 2, 1, 1]
-ENTRY_KINDS = ["kill", "freeze", "term", "hup"]
-ENTRY_WEIGHTS = [2, 2, 3, 2]
+ENTRY_KINDS = ["kill", "freeze", "term", "hup", "kill entries"]
+ENTRY_WEIGHTS = [2, 2, 3, 2, 3]
 # Seeds from here on have chains of wipes.
 FIRST_CHAIN = 1000
 FINALS = ["wipe, power", "wipe, kill", "power", "kill", "wipe"]
@@ -73,6 +73,17 @@
         waits=True,
         settles=True,
     ),
+    # All entries lose power at once, again and again, also while the leader is lost.
+    "entries-lose-power": Play(
+        (
+            Fault(3.0, "kill entries", "e0", 0.5),
+            Fault(7.0, "kill entries", "e0", 0.3),
+            Fault(10.0, "freeze", "leader", 2.0),
+            Fault(10.5, "kill entries", "e0", 0.5),
+            Fault(14.0, "kill entries", "e0", 0.3),
+        ),
+        *("kill", "c0", 18.0),
+    ),
     # The disks of two VMs refuse writes for a second, one after the other.
     "refusing-disks": Play(
         (Fault(2.0, "refuse", "leader", 1.0), Fault(5.0, "refuse", "follower", 1.0)),
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -14,7 +14,7 @@
 
 
 @pytest.mark.xdist_group("processes")
-@pytest.mark.parametrize("seed", ["frozen-leader", 101])
+@pytest.mark.parametrize("seed", ["frozen-leader", "entries-lose-power", 101])
 def test_what_was_accepted_survives_faults_that_overlap(seed, tmp_path):
     _, breaks, line = run_seed(seed, tmp_path / "run")
     assert not breaks, (line, breaks)
