Measure what the record of an origin adds to the first event of a stream

The tests of take-ups wait for a usual origin, and two more have none or one that is replaced. The site fixture ended its heartbeats with a KeyError if an upstream was added between two of them (seen once).

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -287,7 +287,8 @@
                         continue
                     at = next((n for n, c in enumerate(self.controls) if c.replica.leads), 0)
                     with suppress(aiohttp.ClientError):
-                        await self.send_heartbeat(standin, self.states[standin.upstream_id], at)
+                        state = self.states.get(standin.upstream_id, "ready")
+                        await self.send_heartbeat(standin, state, at)
 
         self.tasks.append(asyncio.create_task(repeat()))
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -46,6 +46,7 @@
     :param behaviour: how it answers requests; one of the cases of `answer`.
     :param events: number of events in the stream of a run.
     :param event_s: pause after each event, in seconds.
+    :param first_s: time until the head and the first event of a stream, in seconds.
     :param models: weight version by model.
     :param requests: the requests received.
     :param orders: number of accepted load orders.
@@ -78,6 +79,7 @@
     behaviour: str = "good"
     events: int = 5
     event_s: float = 0.01
+    first_s: float = 0.0
     models: dict[str, int] = field(factory=dict)
     requests: list[RecordedRequest] = field(factory=list)
     orders: int = 0
@@ -285,6 +287,7 @@
         return False
 
     async def stream(self, writer, headers, valid_headers):
+        await asyncio.sleep(self.first_s)
         version = next(iter(self.models.values()), 1)
         lines = [f"{name}: {value}" for name, value in valid_headers]
         start = int(headers.get("last-event-id", "-1")) + 1
--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -134,3 +134,13 @@
         return sorted(u.software for u in upstreams if u.service == "lm")
 
     await site.wait_until(known, lambda found: found == wanted)
+
+
+async def wait_for_usual_origin(site):
+    """Wait until the entry knows the usual origin of the streaming route; return its version."""
+
+    async def usual():
+        return [origin.software for origin in site.entry.recorder.usual.by_route.values()]
+
+    (software,) = await site.wait_until(usual, lambda found: len(found) == 1)
+    return software
--- a/tests/test_stream_takeups.py
+++ b/tests/test_stream_takeups.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from apricotvale.daemons.origin_control import OriginControl
 from tests.platform_site import READY_TIMEOUT_S
 from tests.stream_callers import (
     EVENTS,
@@ -14,6 +15,7 @@
     set_versions,
     take_up,
     take_up_until_answered,
+    wait_for_usual_origin,
 )
 
 STREAMS = 12
@@ -23,6 +25,7 @@
 async def chats(site):
     """A deployment with a streaming route to two engines of different software."""
     await put_chats(site)
+    assert await wait_for_usual_origin(site) == "v1"
     await set_versions(site, "v1", "v2")
     return site
 
@@ -79,6 +82,30 @@
     assert {version for first, _ in pairs for version in first.versions} == {"v1", "v2"}
 
 
+async def test_streams_are_taken_up_before_there_is_a_usual_origin(site, monkeypatch):
+    """Guards against streams without a record while no version counts as usual."""
+    monkeypatch.setattr(OriginControl, "due_origin", lambda *_: None)
+    await put_chats(site)
+    await set_versions(site, "v1", "v2")
+    pairs = await take_up_all(site, await begin_streams(site))
+    assert_not_joined(pairs)
+    assert len(went_on(pairs)) == STREAMS
+
+
+async def test_a_stream_without_a_record_is_taken_up_while_its_version_is_replaced(chats):
+    """Guards against a usual origin that is replaced while its streams may be taken up.
+
+    All streams at v1 have no record; after its only engine has left, v2 is all that serves.
+    """
+    begun = [r for r in await begin_streams(chats) if r.versions == {"v1"}]
+    assert begun
+    await set_versions(chats, "v3", "v2")
+    await asyncio.sleep(1.5)
+    pairs = await take_up_all(chats, begun)
+    assert_not_joined(pairs)
+    assert {rest.status for _, rest in pairs} == {503}
+
+
 async def test_a_stream_is_taken_up_at_another_entry(chats):
     _, second_url = await chats.start_second_entry()
     pairs = await take_up_all(chats, await begin_streams(chats), second_url)
