Keep the software version that an upstream's incarnation stated first

A heartbeat without a version, or of another writer, changed the version that is known of a running upstream, so that a text that it had begun could go on elsewhere. An incarnation has one version. A heartbeat that states another one is logged (software-disputed) and changes nothing else. The test failed before.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -488,6 +488,15 @@
         why = self.rejection(upstream)
         if why:
             return calls.HeartbeatRejected(why)
+        known = self.state.registry.known_software(upstream)
+        if known and known != upstream.software:
+            events.emit(
+                events.SOFTWARE_DISPUTED,
+                upstream=upstream.incarnation,
+                known=known,
+                software=upstream.software,
+                sequence=upstream.sequence,
+            )
         self.last_heartbeats[upstream.upstream_id] = LastHeartbeat(upstream.order, clock.now())
         if not self.state.registry.is_change(upstream):
             return calls.Accepted()
--- a/src/apricotvale/discovery/registry.py
+++ b/src/apricotvale/discovery/registry.py
@@ -206,16 +206,24 @@
     def with_statements(self, upstream: Upstream) -> Upstream:
         """Return a heartbeat's upstream with its limit, as draining if it is marked as leaving.
 
-        Load pattern: an upstream announces in its answers that it leaves, while its heartbeats go
-        on to say that it is ready.
+        It keeps the software version that it stated first. Load pattern: an upstream announces in
+        its answers that it leaves, while its heartbeats go on to say that it is ready; another
+        writer sends heartbeats in its name.
         """
         limit = self.limit_of(upstream.upstream_id, upstream.born_ms)
-        upstream = evolve(upstream, limit=limit)
+        software = self.known_software(upstream) or upstream.software
+        upstream = evolve(upstream, limit=limit, software=software)
         ready = upstream.standing is Standing.READY
         if ready and self.is_leaving(upstream.upstream_id, upstream.born_ms):
             return evolve(upstream, standing=Standing.DRAINING)
         return upstream
 
+    def known_software(self, upstream: Upstream) -> str:
+        """Return the software version that an upstream's incarnation stated, empty if none."""
+        current = self.state.upstreams.get(upstream.upstream_id)
+        same_start = current is not None and current.born_ms == upstream.born_ms
+        return current.software if current is not None and same_start else ""
+
     def mark_leaving(self, upstream_id: str, born_ms: int, position: int) -> bool:
         """Mark an incarnation as leaving; return whether that is news.
 
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -197,6 +197,9 @@
 INCARNATION_UNCONFIRMED = event(
     442, "incarnation-unconfirmed", "INFO", "A stream may come from a later start of its upstream."
 )
+SOFTWARE_DISPUTED = event(
+    443, "software-disputed", "WARNING", "A heartbeat states other software than the first one."
+)
 ORIGIN_FOUND = event(440, "origin-found", "INFO", "Control named the origin of a stream.")
 USUAL_ORIGIN_CHANGED = event(
     441, "usual-origin-changed", "INFO", "The origin of a route's streams without a record."
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -54,6 +54,16 @@
     assert list(registry.state.upstreams) == ["i-2"]
 
 
+@pytest.mark.parametrize("later", ["v2", ""])
+def test_an_incarnation_keeps_its_software(registry, later):
+    """Guards against a heartbeat of another writer, or without a version."""
+    assert registry.announce(evolve(FIRST, sequence=2, software="v1"), 2)
+    assert not registry.announce(evolve(FIRST, sequence=3, software=later), 3)
+    assert registry.state.upstreams["i-1"].software == "v1"
+    assert registry.announce(evolve(FIRST, born_ms=2000, software=later), 4)
+    assert registry.state.upstreams["i-1"].software == later
+
+
 def test_heartbeat_makes_a_silent_upstream_ready(registry):
     assert registry.mark_silent("i-1", 1000, 1, 2)
     assert not registry.mark_silent("i-1", 1000, 1, 3)
