Take a stream up at the entry that began it without asking control

Load pattern: the leader of control is lost, or control is out of reach, while callers come back to the entry that they know. An entry remembers the latest 4,096 streams that began there, with the origin that was recorded or needs no record. The test of take-ups without control failed before (503 for all). The test of a lost leader takes up at another entry now, which has to ask.

--- a/src/apricotvale/daemons/origin_recorder.py
+++ b/src/apricotvale/daemons/origin_recorder.py
@@ -27,6 +27,7 @@
 ATTEMPT_TIMEOUT_S = 0.5
 RETRY_PAUSE_S = 0.05
 MAX_BATCH = 2_000
+MAX_BEGUN = 4_096
 # Callers give up on a stream after a gap of two seconds, and come back sooner after a refusal.
 FIND_TIMEOUT_S = 1.7
 RETRY_AFTER_S = 0.5
@@ -44,7 +45,8 @@
         in seconds for the attempt at one replica.
     :param confirmed_at: returns when control last confirmed what this process knows.
 
-    `pending` holds the records that wait for the call in flight, by key.
+    `pending` holds the records that wait for the call in flight, and `begun` the latest streams
+    that began here, both by key.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         self.confirmed_at = confirmed_at
         self.usual = UsualOrigins(-1, {})
         self.pending: dict[str, tuple[StreamRecord, asyncio.Future[None]]] = {}
+        self.begun: dict[str, StreamRecord] = {}
         self.sending: asyncio.Task[None] | None = None
         self.tasks = TaskGroup()
 
@@ -74,13 +77,20 @@
             return None
         return self.usual.by_route.get(route_key(route))
 
+    def note_begun(self, call: Call, origin: Origin | None) -> None:
+        """Remember where a stream began whose first event is passed on now."""
+        record = make_record(call, call.request_id, origin)
+        self.begun.pop(record.key, None)
+        self.begun[record.key] = record
+        if len(self.begun) > MAX_BEGUN:
+            del self.begun[next(iter(self.begun))]
+
     async def record(self, call: Call, origin: Origin | None) -> None:
         """Record the origin of a stream, None if it is not known; return once it is committed.
 
         The caller bounds the time.
         """
-        key = stream_key(call.caller or "", call.request_id)
-        record = StreamRecord(key, call.identity[:REQUEST_CHARS], origin)
+        record = make_record(call, call.request_id, origin)
         future = asyncio.get_running_loop().create_future()
         self.pending[record.key] = (record, future)
         if self.sending is None or self.sending.done():
@@ -109,12 +119,18 @@
     async def find(self, route: Route, call: Call, take_up: TakeUp) -> Origin | Refusal:
         """Return the origin of a stream that its caller takes up, or a refusal.
 
-        Only control knows it: the stream may have begun at another entry.
+        Control knows it if the stream began at another entry, or before this process started.
         """
-        key = stream_key(call.caller or "", take_up.stream_id) if take_up.stream_id else ""
-        deadline = min(call.deadline, clock.now() + FIND_TIMEOUT_S)
-        question = calls.FindOrigin(route_key(route), key, call.identity[:REQUEST_CHARS])
-        reply = await self.call(question, deadline, ATTEMPT_TIMEOUT_S)
+        wanted = make_record(call, take_up.stream_id, None)
+        known = self.begun.get(wanted.key)
+        reply: Any
+        if known is not None:
+            reply = calls.OriginFound(known.origin, known.request != wanted.request)
+        else:
+            key = wanted.key if take_up.stream_id else ""
+            question = calls.FindOrigin(route_key(route), key, wanted.request)
+            deadline = min(call.deadline, clock.now() + FIND_TIMEOUT_S)
+            reply = await self.call(question, deadline, ATTEMPT_TIMEOUT_S)
         if isinstance(reply, Refusal):
             return reply
         if isinstance(reply, calls.OriginFound) and reply.is_other:
@@ -127,3 +143,12 @@
             detail = f"the route leads no more to {origin.service!r}, which began the stream"
             return not_run(Reason.UNKNOWN_ORIGIN, detail, RETRY_AFTER_S)
         return origin
+
+
+def make_record(call: Call, stream_id: str, origin: Origin | None) -> StreamRecord:
+    """Return the record of the stream that a submission of a request began.
+
+    :param stream_id: id of that submission.
+    """
+    key = stream_key(call.caller or "", stream_id)
+    return StreamRecord(key, call.identity[:REQUEST_CHARS], origin)
--- a/src/apricotvale/daemons/stream_relay.py
+++ b/src/apricotvale/daemons/stream_relay.py
@@ -307,6 +307,8 @@
             async with sender:
                 result = await sender.submit(call, supervision)
                 if isinstance(result, OpenedStream):
+                    if request.route.resumable and take_up is None:
+                        self.recorder.note_begun(call, result.origin)
                     yield RelayedStream(sender, supervision, result, self.resume_field)
                 else:
                     yield result
