Let only new events prolong the wait of an output for its software version

Each failed attempt at an engine of the version, also one without an event, began the wait anew, so that it ended only as the engine's back-off grew beyond it. Found by reading; the new tests (an engine of the version that is full, fails or resets) passed before as well, by that back-off.

--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -513,6 +513,7 @@
     ) -> None:
         """Run an item on an engine; commit its result, or queue it for another run."""
         key = (run.job.job_id, run.item.item_id)
+        last_event_id = run.transcript.last_event_id
         try:
             try:
                 state = await self.generate(route, run, engine, usage)
@@ -527,7 +528,8 @@
                 score = ""
             if state is None:
                 run.was_interrupted = True
-                run.waits_until = clock.now() + run.origin_wait_s()
+                if run.transcript.last_event_id != last_event_id:
+                    run.waits_until = clock.now() + run.origin_wait_s()
                 self.waiting[key] = run
                 return
             await self.commit_result(run, state, score)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -111,6 +111,24 @@
     assert resumed
 
 
+@pytest.mark.parametrize("behaviour", ["full", "failing", "reset"])
+async def test_an_output_begins_anew_if_its_version_runs_nothing(versions, behaviour):
+    """Guards against an output that waits without end for an engine that accepts work and fails."""
+    await submit(versions)
+    await asyncio.sleep(0.3)
+    first = versions.engines[0]
+    for writer in list(first.writers):
+        writer.close()
+    first.behaviour = behaviour
+    results = await versions.all_results("j-1", ITEMS)
+    if behaviour == "failing":
+        # An item that has got `max_attempts` server errors is abandoned.
+        results = {name: r for name, r in results.items() if r["state"] == "completed"}
+        assert joined(results) == {}
+    else:
+        assert_whole(results)
+
+
 async def test_an_output_of_an_unknown_version_begins_anew(versions):
     """Guards against two engines that state no version, which may have different ones."""
     for engine, mark in zip(versions.engines, ("a", "b"), strict=True):
