--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -8,12 +8,13 @@
 from collections.abc import Awaitable, Callable
 from functools import partial
 
-from attrs import define, evolve, field
+from attrs import evolve
 
 from apricotvale import clock, events, metrics
 from apricotvale.customers.access import upstream_customer, urgency
 from apricotvale.daemons.capacity import CapacityPlanner
 from apricotvale.daemons.forwarder import Forwarder
+from apricotvale.daemons.item_run import MIN_ORIGIN_WAIT_S, ItemRun
 from apricotvale.daemons.permits import LeaderPermits
 from apricotvale.daemons.reward_slots import Order, RewardSlots, reward_limit
 from apricotvale.daemons.runtime import TaskGroup
@@ -50,9 +51,6 @@
 # finish earlier; the longest items, which take most of a step's time, are the ones worth saving.
 SAVE_MIN_AGE_S = 1.0
 SAVE_INTERVAL_S = 0.25
-# Shortest time for which an output waits for an engine of its origin, while one accepts work.
-MIN_ORIGIN_WAIT_S = 1.0
-MAX_ORIGIN_WAIT_S = 8.0
 # Used until the first runs are complete.
 INITIAL_SECONDS_PER_TOKEN = 0.001
 # Runs younger than this are not worth moving.
@@ -65,51 +63,6 @@
 SERVER_ERROR_STATUS = 500
 
 
-@define
-class ItemRun:
-    """An item that this leader has started, with the engine of its current run.
-
-    :param server_errors: runs that ended with an internal server error.
-    :param reward_errors: server errors of its reward calls.
-    :param move_requested: whether to stop the run so that it resumes on a faster engine.
-    :param saved_events: events of the output that are in the replicated state.
-    :param was_interrupted: whether the output consists of several runs.
-    :param slack_s: the item's latest start minus the start of the run.
-    :param is_spare: whether the trainer waits for other groups than the item's.
-    :param read_tokens: tokens of the prompt that the engine had not cached.
-    :param software: software versions of the engines that generated the output, for the log.
-    :param generated_s: time for which engines have generated the output.
-    :param waits_until: until when the output waits for an engine of its origin.
-    """
-
-    job: Job
-    item: Item
-    transcript: Transcript
-    server_errors: int = 0
-    reward_errors: int = 0
-    engine: Upstream | None = None
-    started_at: float = 0.0
-    move_requested: bool = False
-    saved_events: int = 0
-    was_interrupted: bool = False
-    slack_s: float = 0.0
-    is_spare: bool = False
-    read_tokens: int = 0
-    software: list[str] = field(factory=list)
-    generated_s: float = 0.0
-    waits_until: float = float("-inf")
-    task: asyncio.Task[None] | None = None
-
-    def origin_wait_s(self) -> float:
-        """Return how long the output waits for an engine of its origin, in seconds.
-
-        Each time that the output was discarded doubles the wait, so that it is complete at last
-        while engines of all origins break off their runs.
-        """
-        wait_s = max(MIN_ORIGIN_WAIT_S, self.generated_s) * 2**self.transcript.restarts
-        return min(wait_s, MAX_ORIGIN_WAIT_S)
-
-
 class JobRunner:
     """Schedules, runs, resumes and scores items.
 
@@ -297,6 +250,9 @@
             ):
                 continue
             demand = self.remaining_demand(route, run)
+            if run.transcript.data and run.transcript.origin is None:
+                # Another engine could not continue the output.
+                continue
             origin = run.transcript.origin if run.transcript.data else None
             other = self.find_engine(route, run.job, run.item, now, demand, origin=origin)
             if other is None or self.permits.rate_of(other) is not None:
