Keep the latest record of a stream's origin, whatever order its records are committed in

A stream that is sent again at another version before its first event is recorded again. A call that was repeated may be carried out after the next one, and named the origin of the earlier attempt. Records carry the number of the attempt. The former book had no order that a test could state; the case was found by reading. An unnamed stream is not looked up either.

--- a/src/apricotvale/daemons/origin_recorder.py
+++ b/src/apricotvale/daemons/origin_recorder.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from attrs import evolve
+
 from apricotvale import clock, metrics
 from apricotvale.daemons.runtime import TaskGroup
 from apricotvale.discovery import Origin
@@ -85,12 +87,14 @@
         if len(self.begun) > MAX_BEGUN:
             del self.begun[next(iter(self.begun))]
 
-    async def record(self, call: Call, origin: Origin | None) -> None:
+    async def record(self, call: Call, origin: Origin | None, attempt: int) -> None:
         """Record the origin of a stream, None if it is not known; return once it is committed.
 
         The caller bounds the time.
+
+        :param attempt: number of the record among those of the same stream.
         """
-        record = make_record(call, call.request_id, origin)
+        record = evolve(make_record(call, call.request_id, origin), attempt=attempt)
         future = asyncio.get_running_loop().create_future()
         self.pending[record.key] = (record, future)
         if self.sending is None or self.sending.done():
@@ -122,7 +126,7 @@
         Control knows it if the stream began at another entry, or before this process started.
         """
         wanted = make_record(call, take_up.stream_id, None)
-        known = self.begun.get(wanted.key)
+        known = self.begun.get(wanted.key) if take_up.stream_id else None
         reply: Any
         if known is not None:
             reply = calls.OriginFound(known.origin, known.request != wanted.request)
--- a/src/apricotvale/daemons/stream_relay.py
+++ b/src/apricotvale/daemons/stream_relay.py
@@ -51,7 +51,7 @@
 
     :param request: retry state, shared by all runs of the stream.
     :param splitter: what was received so far, None if no other run may go on with the stream.
-    :param has_record: whether an origin was recorded for this request.
+    :param records: how often an origin was recorded for this request.
     """
 
     forwarder: Forwarder
@@ -59,7 +59,7 @@
     call: Call
     request: ForwardedRequest
     splitter: EventSplitter | None
-    has_record: bool = False
+    records: int = 0
     opened: list[OpenedStream] = field(factory=list)
 
     async def __aenter__(self) -> StreamSender:
@@ -136,14 +136,14 @@
         if not self.records_origins:
             return None
         usual = self.recorder.usual_origin(self.request.route)
-        if origin is not None and origin == usual and not self.has_record:
+        if origin is not None and origin == usual and not self.records:
             return None
         return asyncio.create_task(self.record(origin))
 
     async def record(self, origin: Origin | None) -> None:
         """Record the origin of the stream; a later record replaces it."""
-        self.has_record = True
-        await self.recorder.record(self.call, origin)
+        self.records += 1
+        await self.recorder.record(self.call, origin, self.records)
 
     async def open(
         self, sent_at: float, upstream: Upstream, call: Call
--- a/src/apricotvale/origins/book.py
+++ b/src/apricotvale/origins/book.py
@@ -21,11 +21,13 @@
     :param key: identifies the stream, as returned by `stream_key`.
     :param request: begin of the identity of the request, which all of its submissions share.
     :param origin: None if it is not known.
+    :param attempt: number of the record among those of the same stream.
     """
 
     key: str
     request: str
     origin: Origin | None = None
+    attempt: int = 1
 
 
 @frozen
@@ -46,15 +48,15 @@
     :param position: log index of the last change of `usual`.
     :param usual: usual origin, by route.
     :param origins: the origins that `recent` and `former` refer to by index.
-    :param recent: index of the origin, -1 if it is not known, and request of the streams recorded
-        since the last turn, by key; `former` holds those before it.
+    :param recent: index of the origin, -1 if it is not known, request and attempt of the streams
+        recorded since the last turn, by key; `former` holds those before it.
     """
 
     position: int = 0
     usual: dict[str, Origin] = field(factory=dict)
     origins: list[Origin] = field(factory=list)
-    recent: dict[str, tuple[int, str]] = field(factory=dict)
-    former: dict[str, tuple[int, str]] = field(factory=dict)
+    recent: dict[str, tuple[int, str, int]] = field(factory=dict)
+    former: dict[str, tuple[int, str, int]] = field(factory=dict)
 
 
 class OriginBook:
@@ -69,7 +71,13 @@
         return not (self.state.recent or self.state.former)
 
     def record(self, record: StreamRecord) -> None:
-        """Record the origin of a stream; a later record of the same stream replaces it."""
+        """Record the origin of a stream; a later attempt replaces an earlier one.
+
+        A record that was sent again may be committed after those of later attempts.
+        """
+        known = self.find(record.key)
+        if known is not None and known.attempt > record.attempt:
+            return
         origins = self.state.origins
         if record.origin is None:
             index = -1
@@ -78,15 +86,16 @@
         else:
             index = len(origins)
             origins.append(record.origin)
-        self.state.recent[record.key] = (index, record.request)
+        self.state.recent[record.key] = (index, record.request, record.attempt)
 
     def find(self, key: str) -> StreamRecord | None:
         """Return the record of a stream, None without one."""
         known = self.state.recent.get(key) or self.state.former.get(key)
         if known is None:
             return None
-        index, request = known
-        return StreamRecord(key, request, self.state.origins[index] if index >= 0 else None)
+        index, request, attempt = known
+        origin = self.state.origins[index] if index >= 0 else None
+        return StreamRecord(key, request, origin, attempt)
 
     def turn(self) -> None:
         """Forget the streams that were recorded before the last turn."""
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -106,6 +106,14 @@
     assert stream_key("", "s") != stream_key("a", "s")
 
 
+def test_a_record_that_is_committed_late_does_not_replace_a_later_one(book):
+    """Guards against a call that was sent again, and carried out after the next one."""
+    book.record(StreamRecord("s", "r", V2, 2))
+    book.turn()
+    book.record(StreamRecord("s", "r", V1, 1))
+    assert book.find("s") == StreamRecord("s", "r", V2, 2)
+
+
 async def test_a_usual_origin_is_chosen_at_once_without_others(control, book, registry):
     for number, software in enumerate(["v2", "v1", "v2", ""]):
         register(registry, f"e-{number}", software)
