--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -151,6 +151,11 @@
         if self.on_start is not None:
             await self.on_start()
 
+    @property
+    def calls(self):
+        """Return the requests received but for management calls."""
+        return [r for r in self.requests if r.target not in MANAGEMENT_TARGETS]
+
     def heartbeat(self, sequence, state="ready"):
         return {
             "service": self.service,
--- a/tests/test_transcripts.py
+++ b/tests/test_transcripts.py
@@ -143,6 +143,7 @@
     version: int = 1
     is_leaving: bool = False
     limit: None = None
+    is_confirmed: bool = True
 
     async def chunks(self):
         for part in self.parts:
