Close a stream whose opening is cancelled while its upstream is confirmed

The upstream went on with the stream for a caller that had left, until it ended by itself: the client counted the stream as handed over before it was. Found by reading the change; the test failed before.

--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -131,8 +131,10 @@
                     allow_redirects=False,
                 )
                 if is_stream(response, call.request_id):
-                    result = PlatformStream(response, call.request_id)
-                    result.is_confirmed = await self.is_from(upstream, response)
+                    stream = PlatformStream(response, call.request_id)
+                    stream.is_confirmed = await self.is_from(upstream, response)
+                    # From here on the caller closes the response.
+                    result = stream
                 else:
                     result = await read_answer(response, call.request_id, self.held)
         except (aiohttp.ClientError, OSError, ValueError, OversizedAnswerError) as error:
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -185,6 +185,23 @@
     assert (len(standin.calls), reports) == (3, 1 if is_confirmed else 3)
 
 
+async def test_a_stream_that_is_cancelled_while_it_is_confirmed_is_closed(client, standin):
+    """Guards against a stream that its upstream goes on with for nobody."""
+    standin.behaviour, standin.events, standin.event_s = "stream", 1000, 0.01
+    confirming = asyncio.Event()
+
+    async def never(upstream):
+        confirming.set()
+        await asyncio.sleep(30)
+
+    client.report = never
+    opening = asyncio.create_task(client.open_stream(make_upstream(standin), make_call()))
+    await confirming.wait()
+    opening.cancel()
+    await asyncio.sleep(0.1)
+    assert not standin.writers
+
+
 async def test_an_upstream_with_a_new_id_at_each_start_is_not_asked(client, standin):
     standin.behaviour = "stream"
     upstream = evolve(make_upstream(standin), born_ms=0)
