review: a stopping entry cuts off requests that it took from kept channels

The case breaks LOST: an entry that got SIGTERM forwards requests of kept channels until its last request has ended, also when too little of the grace is left for them (daemons/fleet_entry.py, run and finish_requests; platform/requests.py, on_request). Streams sent 5.4 to 6.8 s after SIGTERM were cut off at 8 s.

--- a/review/lab/client.py
+++ b/review/lab/client.py
@@ -77,3 +77,45 @@
         whole = "" if response.complete else " (not complete)"
         record.note(f"client gets {response.status} for {request_id}{whole}")
         return request_id, response
+
+
+class Channel:
+    """A kept channel of a client: one request after the other."""
+
+    def __init__(self, site, entry):
+        self.site, self.entry = site, entry
+        self.reader = self.writer = None
+
+    @property
+    def is_open(self):
+        return self.writer is not None and not self.reader.at_eof()
+
+    async def open(self):
+        self.reader, self.writer = await asyncio.open_connection(
+            self.entry.ip, self.site.request_port
+        )
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+        self.reader = self.writer = None
+
+    async def send(self, path, body=b"", host="desk.example", budget_ms=2000):
+        """Send a request; return its id and the response, and close if that says so."""
+        request_id = secrets.token_hex(8)
+        record = self.site.record
+        record.note(f"client sends {request_id} POST {path} to {self.entry.name} (kept channel)")
+        response = Response()
+        try:
+            async with asyncio.timeout(budget_ms / 1000 + 1.0):
+                lines = [f"POST {path} HTTP/1.1", f"Host: {host}", f"Request-Id: {request_id}"]
+                lines += [f"Deadline-Ms: {budget_ms}", f"Content-Length: {len(body)}", "", ""]
+                self.writer.write("\r\n".join(lines).encode() + body)
+                response = await read_response(self.reader)
+        except (OSError, TimeoutError) as error:
+            record.note(f"client {request_id}: {error!r}")
+        whole = "" if response.complete else " (not complete)"
+        record.note(f"client gets {response.status} for {request_id}{whole}")
+        if not response.complete or "close" in response.headers.get("connection", "").lower():
+            self.close()
+        return request_id, response
