review: a replaced control replica leads without what was acknowledged since

The case breaks CONFIG: a voter that was replaced while it was down, by a replica that its log does not know, wins a recovery election with the empty successors of the other members (consensus/node.py, can_recover). An acknowledged configuration that the replica out of reach holds is answered in an older version and is gone for good. The other cases move up by one number.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,89 +1,87 @@
-"""The text of a stream is joined from two runs if the first run breaks off in its first event."""
+"""A late second copy of a refusal makes the entry send a request that runs to another replica."""
 
 import asyncio
 from collections import Counter
 
 from lab.client import Client
 from lab.deployment import Deployment, run_case
-from lab.engine import abort, chunk, event, handle_management, parse_events, pause, stream_head
-from lab.upstream import Upstream
+from lab.upstream import Upstream, answer
 
-EVENTS = 5
-EVENT_S = 0.02
-CALLERS = 10
-STREAMS_EACH = 80
-# Share of a faulty replica's answers that break off; the site's disruption allows 0.03.
-CUT_SHARE = 0.02
+WORK_S = 0.04
+QUEUE = 1
+CAPACITY = 2
+CALLERS = 8
+REQUESTS_EACH = 250
+# Share of a faulty replica's answers that come twice; the site's disruption allows 0.03.
+EXTRA_SHARE = 0.02
 
 CONFIG = {
     "routes": [
         {
-            "name": "r-scripts",
+            "name": "r-slots",
             "hostname": "desk.example",
-            "path_prefix": "/scripts/",
-            "type": "streaming",
-            "resumable": True,
-            "timeout_ms": 10000,
+            "path_prefix": "/slots/",
+            "type": "unsafe",
+            "timeout_ms": 2000,
             "target_latency_ms": 400,
             "priority": 1,
-            "service": "lm-pool",
+            "service": "queue-app",
             "max_attempts": 3,
         }
     ],
-    "services": [
-        {
-            "name": "lm-pool",
-            "health_path": "/healthz",
-            "max_connections": 140,
-            "engine": {"capacity": 8, "kv_capacity_tokens": 67574, "models": [{"name": "m"}]},
-        }
-    ],
+    "services": [{"name": "queue-app", "health_path": "/healthz", "max_connections": 110}],
     "limits": {"max_header_bytes": 16384, "max_body_bytes": 33554432},
 }
 
 
-def text(request, number):
-    return f"{request} piece {number} of the text"
-
+class Desk:
+    """A replica that runs `CAPACITY` requests, queues `QUEUE` more and refuses the rest.
 
-class Engine:
-    """A model replica; a faulty one breaks off some of its answers in their first event."""
+    :param faulty: whether some of its refusals come a second time, when the next answer on the
+        channel is expected.
+    """
 
     def __init__(self, faulty):
         self.faulty = faulty
-        self.answers = self.cuts = 0
+        self.held = 0
+        self.answers = self.copies = 0
+        self.slots = asyncio.Semaphore(CAPACITY)
 
     async def handle(self, upstream, request, reader, writer, channel):
-        if await handle_management(upstream, request, writer):
-            return
-        upstream.run(request)
-        self.answers += 1
-        first = int(request.headers.get("last-event-id", "-1")) + 1
-        writer.write(stream_head(upstream, request))
-        for number in range(first, EVENTS):
-            await pause(EVENT_S)
-            data = event(number, text(request.target, number))
-            if number == first and self.faulty and self.cuts < CUT_SHARE * self.answers:
-                self.cuts += 1
-                upstream.site.record.note(f"replica {upstream.name} breaks off {request.id}")
-                writer.write(chunk(data[: len(data) // 2]))
-                await writer.drain()
-                await pause(EVENT_S)
-                abort(writer)
-                return
-            writer.write(chunk(data))
+        extra = channel.pop("extra", None)
+        if extra is not None:
+            # The late copy comes where the answer to this request is expected.
+            upstream.site.record.note(f"replica {upstream.name} sends a late copy of {extra[0]}")
+            writer.write(extra[1])
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        self.answers += 1
+        if self.held >= CAPACITY + QUEUE:
+            refusal = answer(
+                "503 Service Unavailable", request.id, Not_Executed="1", Retry_After="0.2"
+            )
+            writer.write(refusal)
+            if self.faulty and self.copies < EXTRA_SHARE * self.answers:
+                self.copies += 1
+                channel["extra"] = (request.id, refusal)
+            return
+        self.held += 1
+        try:
+            async with self.slots:
+                upstream.run(request)
+                await asyncio.sleep(WORK_S)
+            body = f"done {request.id}".encode()
+            writer.write(answer("200 OK", request.id, body, Server_Stamp=upstream.stamp()))
+        finally:
+            self.held -= 1
 
 
 async def main(record, trouble):
-    statuses, broken = Counter(), []
-    models = [{"name": "m", "version": 1, "adapters": []}]
+    responses = {}
     async with Deployment(record) as site:
-        engines = [Engine(trouble), Engine(False)]
+        desks = [Desk(trouble), Desk(False)]
         upstreams = [
-            Upstream(site, f"lm-pool-{n}", "lm-pool", engine.handle, capacity=8, models=models)
-            for n, engine in enumerate(engines, 1)
+            Upstream(site, f"queue-app-{n}", "queue-app", desk.handle, capacity=CAPACITY)
+            for n, desk in enumerate(desks, 1)
         ]
         async with upstreams[0], upstreams[1]:
             await site.put_config(CONFIG)
@@ -94,25 +92,25 @@
 
             async def calls(number):
                 client = Client(site, site.entries[number % len(site.entries)])
-                for turn in range(STREAMS_EACH):
-                    path = f"/scripts/{number}-{turn}"
-                    request_id, response = await client.send(path, b"prompt", budget_ms=8000)
-                    statuses[response.status if response.complete else "broken off"] += 1
-                    if response.status != 200 or not response.complete:
-                        continue
-                    found = parse_events(response.body)
-                    wanted = [(n, text(path, n)) for n in range(EVENTS)]
-                    if found != wanted:
-                        broken.append(request_id)
-                        record.note(f"stream {request_id} has other pieces: {found}")
+                for turn in range(REQUESTS_EACH):
+                    body = f"slot {number} {turn}".encode()
+                    request_id, response = await client.send("/slots/log", body)
+                    responses[request_id] = response.status
+                    if response.status == 503:
+                        await asyncio.sleep(0.03)
 
             await asyncio.gather(*(calls(n) for n in range(CALLERS)))
+            await asyncio.sleep(1.0)
+    runs = Counter(rid for upstream in upstreams for rid, _ in upstream.runs)
+    twice = [rid for rid, count in runs.items() if count > 1]
+    refused = [rid for rid, status in responses.items() if status in (429, 503) and runs[rid]]
     summary = [
-        f"streams {CALLERS * STREAMS_EACH}, answers {dict(statuses)}",
-        f"answers of the faulty replica {engines[0].answers}, broken off {engines[0].cuts}",
-        f"ORDER: {len(broken)} complete streams with other pieces than their run's: {broken}",
+        f"requests {len(responses)}, answers {dict(Counter(responses.values()))}",
+        f"answers of the faulty replica {desks[0].answers}, late copies {desks[0].copies}",
+        f"TWICE: {len(twice)} requests ran more than once: {twice}",
+        f"REFUSED: {len(refused)} requests were answered 429 or 503 and ran: {refused}",
     ]
-    return bool(broken), summary
+    return bool(twice or refused), summary
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,24 +1,19 @@
-"""An entry that is told to stop takes requests from kept channels and cuts them off."""
+"""The text of a stream is joined from two runs if the first run breaks off in its first event."""
 
 import asyncio
-import random
-import signal
-import time
 from collections import Counter
 
-from lab.client import Channel
-from lab.deployment import GRACE_S, Deployment, run_case
-from lab.engine import chunk, event, handle_management, parse_events, pause, stream_head
+from lab.client import Client
+from lab.deployment import Deployment, run_case
+from lab.engine import abort, chunk, event, handle_management, parse_events, pause, stream_head
 from lab.upstream import Upstream
 
-EVENTS = 26
-EVENT_S = 0.11
-CALLERS = 24
-# Callers reuse channels that were idle for up to four fifths of the idle timeout (15 s).
-MAX_IDLE_S = 6.0
-BEFORE_S = 12.0
-# Requests sent this long after SIGTERM or sooner may be cut off in the last sixth of the grace.
-EXCUSED_S = 3.0
+EVENTS = 5
+EVENT_S = 0.02
+CALLERS = 10
+STREAMS_EACH = 80
+# Share of a faulty replica's answers that break off; the site's disruption allows 0.03.
+CUT_SHARE = 0.02
 
 CONFIG = {
     "routes": [
@@ -27,6 +22,7 @@
             "hostname": "desk.example",
             "path_prefix": "/scripts/",
             "type": "streaming",
+            "resumable": True,
             "timeout_ms": 10000,
             "target_latency_ms": 400,
             "priority": 1,
@@ -39,10 +35,10 @@
             "name": "lm-pool",
             "health_path": "/healthz",
             "max_connections": 140,
-            "engine": {"capacity": 24, "kv_capacity_tokens": 67574, "models": [{"name": "m"}]},
+            "engine": {"capacity": 8, "kv_capacity_tokens": 67574, "models": [{"name": "m"}]},
         }
     ],
-    "limits": {"max_header_bytes": 16384, "max_body_bytes": 33554432, "idle_timeout_ms": 15000},
+    "limits": {"max_header_bytes": 16384, "max_body_bytes": 33554432},
 }
 
 
@@ -50,27 +46,44 @@
     return f"{request} piece {number} of the text"
 
 
-async def handle(upstream, request, reader, writer, channel):
-    """Answer a request with a whole stream."""
-    if await handle_management(upstream, request, writer):
-        return
-    upstream.run(request)
-    writer.write(stream_head(upstream, request))
-    for number in range(EVENTS):
-        await pause(EVENT_S)
-        writer.write(chunk(event(number, text(request.target, number))))
-        await writer.drain()
-    writer.write(b"0\r\n\r\n")
+class Engine:
+    """A model replica; a faulty one breaks off some of its answers in their first event."""
+
+    def __init__(self, faulty):
+        self.faulty = faulty
+        self.answers = self.cuts = 0
+
+    async def handle(self, upstream, request, reader, writer, channel):
+        if await handle_management(upstream, request, writer):
+            return
+        upstream.run(request)
+        self.answers += 1
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        writer.write(stream_head(upstream, request))
+        for number in range(first, EVENTS):
+            await pause(EVENT_S)
+            data = event(number, text(request.target, number))
+            if number == first and self.faulty and self.cuts < CUT_SHARE * self.answers:
+                self.cuts += 1
+                upstream.site.record.note(f"replica {upstream.name} breaks off {request.id}")
+                writer.write(chunk(data[: len(data) // 2]))
+                await writer.drain()
+                await pause(EVENT_S)
+                abort(writer)
+                return
+            writer.write(chunk(data))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
 
 
 async def main(record, trouble):
-    statuses, sent, cut = Counter(), {}, []
+    statuses, broken = Counter(), []
     models = [{"name": "m", "version": 1, "adapters": []}]
-    told_at = float("inf")
     async with Deployment(record) as site:
+        engines = [Engine(trouble), Engine(False)]
         upstreams = [
-            Upstream(site, f"lm-pool-{n}", "lm-pool", handle, capacity=24, models=models)
-            for n in (1, 2)
+            Upstream(site, f"lm-pool-{n}", "lm-pool", engine.handle, capacity=8, models=models)
+            for n, engine in enumerate(engines, 1)
         ]
         async with upstreams[0], upstreams[1]:
             await site.put_config(CONFIG)
@@ -78,60 +91,28 @@
             for upstream in upstreams:
                 await upstream.acknowledged.wait()
             await asyncio.sleep(2.0)
-            stopping, other = site.entries
-            ends_at = time.monotonic() + BEFORE_S + GRACE_S
 
             async def calls(number):
-                rng = random.Random(number)
-                turn = 0
-                channel = Channel(site, stopping)
-                while time.monotonic() < ends_at:
-                    await asyncio.sleep(rng.uniform(0.0, MAX_IDLE_S))
-                    if not channel.is_open:
-                        # New channels lead to an entry that is ready.
-                        entry = stopping if await site.is_ready(stopping) else other
-                        channel = Channel(site, entry)
-                        await channel.open()
-                    turn += 1
+                client = Client(site, site.entries[number % len(site.entries)])
+                for turn in range(STREAMS_EACH):
                     path = f"/scripts/{number}-{turn}"
-                    at = time.monotonic()
-                    request_id, response = await channel.send(path, b"prompt", budget_ms=9000)
-                    sent[request_id] = (channel.entry, at)
-                    statuses[response.status if response.complete else "cut off"] += 1
-                    whole = [(n, text(path, n)) for n in range(EVENTS)]
-                    if response.complete and response.status == 200:
-                        if parse_events(response.body) != whole:
-                            record.note(f"stream {request_id} has other pieces")
-                    elif not response.complete:
-                        cut.append((request_id, channel.entry, at))
-                channel.close()
-
-            tasks = [asyncio.create_task(calls(n)) for n in range(CALLERS)]
-            await asyncio.sleep(BEFORE_S)
-            if trouble:
-                stopping.signal(signal.SIGTERM)
-                told_at = time.monotonic()
-                while time.monotonic() < told_at + GRACE_S and stopping.is_running():
-                    await asyncio.sleep(0.02)
-                if stopping.is_running():
-                    stopping.signal(signal.SIGKILL)
-                else:
-                    record.note(f"process {stopping.name} has ended")
-            await asyncio.gather(*tasks)
-    ran = {request_id for upstream in upstreams for request_id, _ in upstream.runs}
-    lost = [
-        f"{request_id} sent {at - told_at:.2f} s after SIGTERM"
-        for request_id, entry, at in cut
-        if entry is stopping and request_id in ran and at > told_at + EXCUSED_S
-    ]
+                    request_id, response = await client.send(path, b"prompt", budget_ms=8000)
+                    statuses[response.status if response.complete else "broken off"] += 1
+                    if response.status != 200 or not response.complete:
+                        continue
+                    found = parse_events(response.body)
+                    wanted = [(n, text(path, n)) for n in range(EVENTS)]
+                    if found != wanted:
+                        broken.append(request_id)
+                        record.note(f"stream {request_id} has other pieces: {found}")
+
+            await asyncio.gather(*(calls(n) for n in range(CALLERS)))
     summary = [
-        f"streams {len(sent)}, answers {dict(statuses)}",
-        f"LOST: {len(lost)} requests were passed on to a replica and then cut off: {lost}",
+        f"streams {CALLERS * STREAMS_EACH}, answers {dict(statuses)}",
+        f"answers of the faulty replica {engines[0].answers}, broken off {engines[0].cuts}",
+        f"ORDER: {len(broken)} complete streams with other pieces than their run's: {broken}",
     ]
-    if not trouble:
-        lost = [request_id for request_id, _, _ in cut]
-        summary.append(f"without SIGTERM cut off: {lost}")
-    return bool(lost), summary
+    return bool(broken), summary
 
 
 if __name__ == "__main__":
--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -94,6 +94,19 @@
         self.site.record.note(f"process {self.name} gets {signal.Signals(number).name}")
         self.child.send_signal(number)
 
+    def lose_power(self):
+        """End at once; the disk stays as it is, and the process is no first one any more."""
+        self.signal(signal.SIGKILL)
+        self.child.wait()
+        self.founds = False
+
+    def lose_disk(self):
+        """End at once, and lose all files of the disk."""
+        self.lose_power()
+        shutil.rmtree(self.folder / "data")
+        (self.folder / "data").mkdir()
+        self.site.record.note(f"process {self.name} has lost its disk")
+
     def is_running(self):
         return self.child is not None and self.child.poll() is None
 
@@ -125,6 +138,8 @@
             ip = f"{self.subnet}.{number + 10}"
             name = f"edge-{zone}-{number + 1}"
             self.entries.append(Process(self, name, "entry", ip, zone))
+        # Control replicas that are added later; they are no contacts.
+        self.added = []
         self.next_upstream = 50
         self.config = None
 
@@ -135,7 +150,7 @@
             if port in found:
                 continue
             try:
-                for last in (*range(2, 5), *range(10, 16), *range(50, 60)):
+                for last in (*range(2, 8), *range(10, 16), *range(50, 70)):
                     with socket.socket() as probe:
                         probe.bind((f"{self.subnet}.{last}", port))
             except OSError:
@@ -143,6 +158,14 @@
             found.append(port)
         return found
 
+    def add_control(self, zone):
+        """Return a further control replica on an empty disk, which is not started yet."""
+        ip = f"{self.subnet}.{len(self.controls) + len(self.added) + 2}"
+        process = Process(self, f"storage-{zone}-2", "control", ip, zone)
+        process.founds = False
+        self.added.append(process)
+        return process
+
     def upstream_address(self):
         self.next_upstream += 1
         return f"{self.subnet}.{self.next_upstream}", self.upstream_port
@@ -153,11 +176,11 @@
         return self
 
     async def __aexit__(self, *exc_info):
-        for process in [*self.controls, *self.entries]:
+        for process in [*self.controls, *self.added, *self.entries]:
             process.end()
         kept = os.environ.get("KEEP_LOGS")
         if kept:
-            for process in [*self.controls, *self.entries]:
+            for process in [*self.controls, *self.added, *self.entries]:
                 shutil.copy(process.folder / "log", Path(kept) / f"{process.name}.log")
         shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -196,6 +219,23 @@
         except (OSError, TimeoutError, IndexError, ValueError):
             return None
 
+    async def read_config(self, control, timeout_s=1.0):
+        """Return the version that a control replica answers a read with, None for none."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                reader, writer = await asyncio.open_connection(control.ip, self.interface_port)
+                try:
+                    head = "GET /api/config HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n"
+                    writer.write(head.encode())
+                    head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+                    if b" 200 " not in head.split(b"\r\n")[0]:
+                        return None
+                    return json.loads(body)["version"]
+                finally:
+                    writer.close()
+        except (OSError, TimeoutError, ValueError, IndexError):
+            return None
+
     async def wait_ready(self, timeout_s=20.0):
         """Wait until all entries answer their readiness check with 200."""
         deadline = time.monotonic() + timeout_s
