review: streams of a feed can't be taken up after a zone's replicas crashed

Breaks LOST (share of taken-up streams that go on): the requests of all clients that follow the same feed have one identity, as the caller is empty without customers (crashes/identity.py), and the ends of three replicas condemn it although they are simultaneous (crashes/book.py). No trial is granted for 600 s after that (daemons/crash_control.py).

--- a/review/lab/client.py
+++ b/review/lab/client.py
@@ -45,10 +45,11 @@
 
 
 class Client:
-    """A client of one entry."""
+    """A client of one entry. `address` is its own address, any one by default."""
 
-    def __init__(self, site, entry):
+    def __init__(self, site, entry, address=None):
         self.site, self.entry = site, entry
+        self.own = (address, 0) if address else None
 
     async def send(
         self, path, body=b"", method="POST", host="desk.example", budget_ms=2000, fields=(), **more
@@ -61,7 +62,7 @@
         try:
             async with asyncio.timeout(budget_ms / 1000 + 1.0):
                 reader, writer = await asyncio.open_connection(
-                    self.entry.ip, self.site.request_port
+                    self.entry.ip, self.site.request_port, local_addr=self.own
                 )
                 try:
                     lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
