--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,7 @@
 
 EVENTS = 60
 EVENT_S = 0.1
-STREAMS = 16
+STREAMS = 32
 BUDGET_MS = 10_000
 # Time for which both routes and both versions stay in force, as in a slow release.
 BOTH_S = 66.0
--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -150,7 +150,7 @@
             if port in found:
                 continue
             try:
-                for last in (*range(2, 8), *range(10, 16), *range(50, 70)):
+                for last in (*range(2, 8), *range(10, 16), *range(50, 80)):
                     with socket.socket() as probe:
                         probe.bind((f"{self.subnet}.{last}", port))
             except OSError:
