Believe a refusal only if it carries the id of the request

Cause: read_answer turned status 421 and Not-Executed into "not run" before it compared the Request-Id, so that a late copy of a refusal, which comes where the next answer is expected, decided about the next request. The mark of a leaving upstream was not compared at all, a limit not without an id. Beside it: response.close() does nothing once aiohttp has released the connection, which it does as soon as the answer has ended. The connection stayed in use with its answers one behind.

Evidence: a scripted upstream, three kinds of requests, four refusals, with the former id and without: 24 of 24 cases failed before. With the order of the checks alone changed, 24 of 24 fail still, as the third request gets the answer of the second. Ruled out: a resend after a lost connection, as no connection is lost in these cases.

Change: the id comes first, for statements about the upstream as well; the connection is closed, also after its release (UpstreamResponse). A management call that gets the answer of a request closes its connection too; its test now checks that. The stand-in of the tests echoes the id in refusals, as PROTOCOL.md says of replicas: without it the tests sent what no replica sends.

--- a/src/apricotvale/platform/answers.py
+++ b/src/apricotvale/platform/answers.py
@@ -10,7 +10,7 @@
 from apricotvale.limits.types import StatedLimit
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run, unknown
 from apricotvale.platform import names
-from apricotvale.platform.connections import UpstreamConnection
+from apricotvale.platform.connections import UpstreamConnection, UpstreamResponse
 from apricotvale.requests.calls import Answer
 from apricotvale.requests.held_bytes import ByteBudget, Hold
 
@@ -34,29 +34,31 @@
     return response.headers.get(names.REQUEST_ID) == request_id
 
 
-def says_leaving(response: aiohttp.ClientResponse) -> bool:
-    """Return whether the upstream states that it leaves.
+def concerns_upstream(response: aiohttp.ClientResponse, request_id: str) -> bool:
+    """Return whether what a response states about its upstream may be believed.
 
-    The statement of a misdirected request's answer concerns another upstream at the address.
+    An answer to another request may be a late copy, and a misdirected request is answered by
+    another upstream at the address.
     """
-    return (
-        response.headers.get(names.SERVER_LEAVING) == "1" and response.status != MISDIRECTED_STATUS
-    )
+    return answers_request(response, request_id) and response.status != MISDIRECTED_STATUS
+
+
+def says_leaving(response: aiohttp.ClientResponse, request_id: str) -> bool:
+    """Return whether the upstream states that it leaves."""
+    is_marked = response.headers.get(names.SERVER_LEAVING) == "1"
+    return is_marked and concerns_upstream(response, request_id)
 
 
 def stated_limit(response: aiohttp.ClientResponse, request_id: str) -> StatedLimit | None:
     """Return what an answer says about the upstream's limit, None if it says nothing.
 
-    An answer may belong to another request or come from another upstream at the address. That there
-    is no limit is taken from the signed answer to the request only.
+    That there is no limit is taken from a signed answer only.
     """
-    answered_id = response.headers.get(names.REQUEST_ID, request_id)
-    if response.status == MISDIRECTED_STATUS or answered_id != request_id:
+    if not concerns_upstream(response, request_id):
         return None
     text = response.headers.get(names.SERVER_LIMIT)
     if text is None:
-        is_signed = answers_request(response, request_id) and names.SERVER_STAMP in response.headers
-        return StatedLimit(None) if is_signed else None
+        return StatedLimit(None) if names.SERVER_STAMP in response.headers else None
     try:
         rate = float(text)
     except ValueError:
@@ -110,17 +112,22 @@
 ) -> Answer | Refusal:
     """Read a complete response; return a refusal if it is not a valid answer to the request.
 
+    A response that does not carry the request's id states nothing about the request, not even that
+    it did not run: it may be a late copy of an earlier answer. Its connection is closed, as the
+    next response there would be one too late as well.
+
     :param held: counts the bytes of the answer while it is read.
     :param max_bytes: bound of the body.
     :raises OversizedAnswerError: if the body exceeds its bound.
     """
+    if not answers_request(response, request_id):
+        if isinstance(response, UpstreamResponse):
+            response.close_connection()
+        return unknown(Reason.UPSTREAM_GARBLED, "the answer does not carry the request's id")
     if response.status == MISDIRECTED_STATUS:
         return not_run(Reason.WRONG_INCARNATION, "the address now belongs to another upstream")
     if names.NOT_EXECUTED in response.headers:
         return not_run(Reason.OVERLOADED, f"status {response.status}")
-    if not answers_request(response, request_id):
-        response.close()
-        return unknown(Reason.UPSTREAM_GARBLED, "the answer carries the id of another request")
     connection = response.connection
     protocol = connection.protocol if connection else None
     body = await read_body(response, held, max_bytes)
--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -35,6 +35,7 @@
 from apricotvale.platform.connections import (
     CONNECT_TIMEOUT_S,
     UpstreamConnection,
+    UpstreamResponse,
     make_session,
 )
 from apricotvale.requests.calls import Answer, Call, RunRequest
@@ -102,7 +103,7 @@
                     allow_redirects=False,
                 ) as response,
             ):
-                is_leaving = says_leaving(response)
+                is_leaving = says_leaving(response, call.request_id)
                 limit = stated_limit(response, call.request_id)
                 result = await read_answer(response, call.request_id, self.held)
         except (aiohttp.ClientError, OSError, ValueError, OversizedAnswerError) as error:
@@ -144,8 +145,8 @@
                 response.close()
         if response is None or isinstance(result, PlatformStream):
             return result
-        limit = stated_limit(response, call.request_id)
-        return with_statements(result, says_leaving(response), limit)
+        is_leaving = says_leaving(response, call.request_id)
+        return with_statements(result, is_leaving, stated_limit(response, call.request_id))
 
     async def is_from(self, upstream: Upstream, response: aiohttp.ClientResponse) -> bool:
         """Return whether a response comes from an incarnation, and not from a later one.
@@ -222,8 +223,9 @@
             except (aiohttp.ClientError, OSError, ValueError, OversizedAnswerError) as error:
                 result = refusal_from_error(error)
             if response is not None and not isinstance(result, PlatformRun):
+                is_leaving = says_leaving(response, request.request_id)
                 limit = stated_limit(response, request.request_id)
-                result = with_statements(result, says_leaving(response), limit)
+                result = with_statements(result, is_leaving, limit)
             yield result
         finally:
             if response is not None:
@@ -287,6 +289,8 @@
                 if isinstance(protocol, UpstreamConnection) and protocol.was_reset:
                     return unknown(Reason.UPSTREAM_LOST, "the connection was reset")
                 if names.REQUEST_ID in response.headers:
+                    if isinstance(response, UpstreamResponse):
+                        response.close_connection()
                     return unknown(
                         Reason.UPSTREAM_GARBLED, "the answer carries the id of another request"
                     )
@@ -308,7 +312,7 @@
     def __init__(self, response: aiohttp.ClientResponse, request_id: str) -> None:
         self.response = response
         self.version = parse_number(response.headers.get(names.WEIGHT_VERSIONS, "0"))
-        self.is_leaving = says_leaving(response)
+        self.is_leaving = says_leaving(response, request_id)
         self.limit = stated_limit(response, request_id)
 
     async def chunks(self) -> AsyncIterator[bytes]:
--- a/src/apricotvale/platform/connections.py
+++ b/src/apricotvale/platform/connections.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 
 from apricotvale import events, metrics
 
@@ -109,8 +110,31 @@
         super().connection_lost(exc)
 
 
+class UpstreamResponse(aiohttp.ClientResponse):
+    """A response that can close its connection after the connection was released.
+
+    aiohttp releases a connection for the next request as soon as a response has ended, which may be
+    before the response is looked at.
+    """
+
+    protocol: UpstreamConnection | None = None
+
+    async def start(self, connection: Connection) -> UpstreamResponse:
+        """Start to process the response."""
+        if isinstance(connection.protocol, UpstreamConnection):
+            self.protocol = connection.protocol
+        await super().start(connection)
+        return self
+
+    def close_connection(self) -> None:
+        """Close the connection, so that no request uses it again."""
+        self.close()
+        if self.protocol is not None and self.protocol.transport is not None:
+            self.protocol.transport.close()
+
+
 def make_session(skip_auto_headers: tuple[str, ...], keep: bool) -> aiohttp.ClientSession:
-    """Create a session whose connections are of the class `UpstreamConnection`.
+    """Create a session with connections and responses of the classes above.
 
     :param skip_auto_headers: header fields that aiohttp must not add by itself.
     :param keep: whether connections are used for more than one request.
@@ -120,6 +144,7 @@
     connector._factory = partial(UpstreamConnection, loop)  # type: ignore[assignment]
     session = aiohttp.ClientSession(
         connector=connector,
+        response_class=UpstreamResponse,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -202,7 +202,8 @@
         if target == "/api/order":
             return await self.accept_order(writer, json.loads(body))
         if headers.get("expect-instance") not in (None, self.upstream_id):
-            return await self.send(writer, 421, [("Replica-Id", self.upstream_id)], b"")
+            echo = ("Request-Id", headers.get("request-id", ""))
+            return await self.send(writer, 421, [("Replica-Id", self.upstream_id), echo], b"")
         if self.is_down:
             return False
         if body in self.deadly:
@@ -262,7 +263,7 @@
             case "failing":
                 return await self.send(writer, 500, valid_headers, b"failed")
             case "full":
-                return await self.send(writer, 503, [("Not-Executed", "1")], b"")
+                return await self.send(writer, 503, [("Not-Executed", "1"), valid_headers[0]], b"")
             case "truncated":
                 await self.send(writer, 200, valid_headers, body, length=len(body) + 10)
             case "reset":
--- a/tests/test_upstream_bytes.py
+++ b/tests/test_upstream_bytes.py
@@ -184,6 +184,64 @@
         assert upstream.connections == 2
 
 
+LATE_REFUSALS = {
+    "full": ("503 Service Unavailable", "Not-Executed: 1\r\n"),
+    "too many requests": ("429 Too Many Requests", "Not-Executed: 1\r\n"),
+    "misdirected": ("421 Misdirected Request", ""),
+    "misdirected, not run": ("421 Misdirected Request", "Not-Executed: 1\r\n"),
+}
+
+
+async def open_result(client, upstream, request_id):
+    result = await client.open_stream(upstream, make_call(request_id))
+    assert isinstance(result, Answer | Refusal)
+    return result
+
+
+async def run_result(client, upstream, request_id):
+    async with client.run(upstream, make_run(request_id)) as result:
+        return result
+
+
+REQUESTS = {
+    "call": lambda client, upstream, name: client.call(upstream, make_call(name)),
+    "stream": open_result,
+    "run": run_result,
+}
+
+
+@pytest.mark.parametrize("copied_id", ["Request-Id: r-1\r\n", ""])
+@pytest.mark.parametrize("refusal", LATE_REFUSALS)
+@pytest.mark.parametrize("kind", REQUESTS)
+async def test_a_late_copy_of_a_refusal_states_nothing_about_the_next_request(
+    client, kind, refusal, copied_id
+):
+    """Guards against a request that is refused as not run, or sent again, although it runs.
+
+    The connection must not serve a third request either, which would get the second one's answer.
+    """
+    status, fields = LATE_REFUSALS[refusal]
+    statements = "Server-Leaving: 1\r\nServer-Limit: 0\r\n"
+    copy = f"HTTP/1.1 {status}\r\n{copied_id}{fields}{statements}Content-Length: 0\r\n\r\n"
+
+    async def script(reader, writer):
+        number = len(upstream.heads)
+        if number == 2:
+            writer.write(copy.encode())
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        writer.write(answer(f"body {number}".encode(), f"r-{number}"))
+
+    async with RawUpstream(script) as upstream:
+        await client.call(upstream.upstream, make_call("r-1"))
+        second = await REQUESTS[kind](client, upstream.upstream, "r-2")
+        third = await client.call(upstream.upstream, make_call("r-3"))
+    assert isinstance(second, Refusal) and second.ran is Ran.UNKNOWN
+    assert not second.is_leaving and second.limit is None
+    assert isinstance(third, Answer) and third.body == b"body 3"
+    assert upstream.connections == 2
+
+
 @pytest.mark.parametrize("ends_apart", [False, True])
 async def test_the_connection_of_a_complete_stream_is_used_again(client, ends_apart):
     """Guards against a new connection, which is priced, for each run."""
@@ -271,8 +329,10 @@
         writer.write(answer(REPORT, "r-7"))
 
     async with RawUpstream(script) as upstream:
-        result = await client.report(upstream.upstream)
-    assert isinstance(result, Refusal) and result.reason is Reason.UPSTREAM_GARBLED
+        for _ in range(2):
+            result = await client.report(upstream.upstream)
+            assert isinstance(result, Refusal) and result.reason is Reason.UPSTREAM_GARBLED
+    assert upstream.connections == 2
 
 
 # Answers that are cut or malformed
