Give each run of a stream its own splitter

Cause: one EventSplitter served all runs of a request. Its rest of an event was cleared when a stream resumed, but not when the first event did not come and the request was sent again, nor when a resumed run broke off in its first event. Each place that begins a run had to clear it, and one of three did.

A second fault of the class: events beside a faulty one in the same bytes counted as passed on although they were dropped, so that the next run left them out (a missing event).

Evidence: the pattern of the regression test. Breaks inside a later event of a first run do no harm, breaks in the first event of any run do. Ruled out: that the upstream joins them, as the bytes are those of both runs in order.

Change: the splitter belongs to its run; the request keeps what was passed on (StreamProgress), noted where it is passed on, and each run begins from it. A faulty event leaves the progress as it was. Nothing has to be cleared, so that EventSplitter.discard_partial is gone; its test begins the next run with a new splitter instead.

Looked for elsewhere: Transcript.begin_run clears its buffer for each run, a sidecar makes a parser for each run.

--- a/src/apricotvale/daemons/stream_relay.py
+++ b/src/apricotvale/daemons/stream_relay.py
@@ -19,7 +19,7 @@
 from apricotvale.exceptions import TruncatedStreamError
 from apricotvale.outcomes import Reason, Refusal, not_run, unknown
 from apricotvale.requests.calls import Answer, Call, EventStream, TakeUp
-from apricotvale.requests.event_splitter import EventSplitter
+from apricotvale.requests.event_splitter import EventSplitter, StreamProgress
 from apricotvale.requests.forwarding import ForwardedRequest
 
 
@@ -28,6 +28,7 @@
     """A stream whose first event has arrived.
 
     :param origin: what generates it, None if that is not known.
+    :param splitter: splits its bytes into events, None if no other run may go on with them.
     :param first: the whole events received so far.
     :param rest: the bytes after them.
     """
@@ -36,6 +37,7 @@
     stream: EventStream
     sent_at: float
     origin: Origin | None
+    splitter: EventSplitter | None
     first: bytes
     rest: AsyncIterator[bytes]
 
@@ -44,13 +46,17 @@
         """Return the HTTP status."""
         return self.stream.status
 
+    def split(self, chunk: bytes) -> bytes:
+        """Return the part of received bytes that is passed on."""
+        return self.splitter.feed(chunk) if self.splitter else chunk
+
 
 @define(eq=False)
 class StreamSender:
     """Sends the copies of one request for a stream; a context manager that closes its streams.
 
     :param request: retry state, shared by all runs of the stream.
-    :param splitter: what was received so far, None if no other run may go on with the stream.
+    :param progress: what was passed on to the caller, None if no other run may go on with it.
     :param records: how often an origin was recorded for this request.
     """
 
@@ -58,7 +64,7 @@
     recorder: OriginRecorder
     call: Call
     request: ForwardedRequest
-    splitter: EventSplitter | None
+    progress: StreamProgress | None
     records: int = 0
     opened: list[OpenedStream] = field(factory=list)
 
@@ -156,7 +162,8 @@
         self.forwarder.note_statements(upstream, stream, sent_at)
         origin = upstream.origin if stream.is_confirmed else None
         self.forwarder.router.begin(upstream)
-        opened = OpenedStream(upstream, stream, sent_at, origin, b"", stream.chunks())
+        splitter = EventSplitter(self.progress) if self.progress else None
+        opened = OpenedStream(upstream, stream, sent_at, origin, splitter, b"", stream.chunks())
         self.opened.append(opened)
         if self.request.origin is not None and origin != self.request.origin:
             self.close(opened)
@@ -166,7 +173,7 @@
                 chunk = await anext(opened.rest, None)
                 if chunk is None:
                     break
-                opened.first = self.split(chunk)
+                opened.first = opened.split(chunk)
         except TruncatedStreamError as error:
             self.close(opened)
             return unknown(Reason.UPSTREAM_LOST, error.format_message())
@@ -175,10 +182,6 @@
             raise
         return opened
 
-    def split(self, chunk: bytes) -> bytes:
-        """Return the part of received bytes that is passed on."""
-        return self.splitter.feed(chunk) if self.splitter else chunk
-
     def finish_copy(self, supervision: Supervision, result: Any) -> None:
         """Tell the supervision that a copy has its result; a stream has it at its end."""
         if not isinstance(result, OpenedStream):
@@ -222,13 +225,15 @@
         while opened is not None:
             try:
                 if opened.first:
+                    self.note_progress(opened)
                     yield opened.first
                 async for chunk in opened.rest:
-                    data = self.sender.split(chunk)
+                    data = opened.split(chunk)
                     if data:
+                        self.note_progress(opened)
                         yield data
-                if self.sender.splitter:
-                    self.sender.splitter.check_complete()
+                if opened.splitter:
+                    opened.splitter.check_complete()
                 self.is_whole = True
                 self.supervision.finish_copy(answered=True)
                 return
@@ -236,33 +241,38 @@
                 why = error.format_message()
             opened = await self.resume(opened, why)
 
+    def note_progress(self, opened: OpenedStream) -> None:
+        """Note that all whole events received from a run are passed on."""
+        if opened.splitter:
+            self.sender.progress = opened.splitter.progress
+
     async def resume(self, broken: OpenedStream, why: str) -> OpenedStream | None:
         """Go on with a broken stream at another upstream; return None if it cannot go on."""
         sender, request = self.sender, self.sender.request
         sender.close(broken)
         sender.forwarder.router.fail(broken.upstream, clock.now())
         await self.supervision.on_loss(broken.upstream, broken.sent_at)
-        splitter = sender.splitter
+        progress = sender.progress
+        last_event_id = progress.last_event_id if progress else None
         events.emit(
             events.STREAM_CUT,
             request=sender.call.request_id,
             upstream=broken.upstream.incarnation,
             software=broken.upstream.software,
             why=why,
-            last_event=splitter.last_event_id if splitter else None,
+            last_event=last_event_id,
         )
-        if splitter is None or splitter.last_event_id is None or not splitter.has_all_ids:
+        if progress is None or last_event_id is None or not progress.has_all_ids:
             return None
         if broken.origin is None or self.supervision.suspicion(clock.now()) is not None:
             return None
-        splitter.discard_partial()
         request.origin = broken.origin
         fields = [
             (name, value)
             for name, value in sender.call.headers
             if name.lower() != self.resume_field.lower()
         ]
-        fields.append((self.resume_field, str(splitter.last_event_id)))
+        fields.append((self.resume_field, str(last_event_id)))
         call = evolve(sender.call, headers=tuple(fields))
         result = await sender.submit(call, self.supervision)
         if not isinstance(result, OpenedStream):
@@ -272,7 +282,7 @@
             request=call.request_id,
             upstream=result.upstream.incarnation,
             software=result.upstream.software,
-            last_event=splitter.last_event_id,
+            last_event=last_event_id,
         )
         return result
 
@@ -299,10 +309,10 @@
                 yield origin
                 return
             request.origin = origin
-        splitter = None
+        progress = None
         if request.route.resumable:
-            splitter = EventSplitter(take_up.last_event_id if take_up else None)
-        sender = StreamSender(self.forwarder, self.recorder, call, request, splitter)
+            progress = StreamProgress(take_up.last_event_id if take_up else None)
+        sender = StreamSender(self.forwarder, self.recorder, call, request, progress)
         with self.forwarder.guard.supervise(call) as supervision:
             async with sender:
                 result = await sender.submit(call, supervision)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -72,6 +72,8 @@
     :param marks_events: whether the data of an event names the version that generated it.
     :param mark: name in place of the version; empty for the version.
     :param cut_after: number of events after which a run breaks off; None for none.
+    :param breaks: how the next runs break off, the first one first: the number of events before,
+        what is sent of the next event, and whether the connection is reset; None for a whole run.
     """
 
     upstream_id: str
@@ -110,6 +112,7 @@
     marks_events: bool = False
     mark: str = ""
     cut_after: int | None = None
+    breaks: list[tuple[int, Callable[[bytes], bytes], bool] | None] = field(factory=list)
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -302,6 +305,7 @@
         if start < self.events:
             lines.append(f"Weight-Versions: {version}")
         writer.write("\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode())
+        broken = self.breaks.pop(0) if self.breaks else None
         for number in range(start, self.events):
             if self.behaviour == "cut stream" and number == start + 2:
                 writer.write(b"9\r\nid: 2\nda")
@@ -310,6 +314,15 @@
                 return False
             data = f"{self.mark or self.software}.{number}" if self.marks_events else f"e{number}"
             event = f"id: {number}\ndata: {data}\n\n".encode()
+            if broken is not None and number == start + broken[0]:
+                _, spoil, resets = broken
+                part = spoil(event)
+                writer.write(f"{len(part):x}\r\n".encode() + part + b"\r\n")
+                await writer.drain()
+                await asyncio.sleep(self.event_s)
+                if resets:
+                    reset_connection(writer)
+                return False
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
             await asyncio.sleep(self.event_s)
--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -30,6 +30,7 @@
 class Received:
     """What a caller received of a stream.
 
+    :param text: the bytes of the answer's body.
     :param events: the data of the events by id.
     :param is_whole: whether the stream ended with its end mark.
     :param first_at: when the first event came, in monotonic seconds, None without one.
@@ -40,6 +41,7 @@
     path: str = ""
     status: int = 0
     headers: dict = field(factory=dict)
+    text: bytes = b""
     events: dict[int, str] = field(factory=dict)
     is_whole: bool = False
     sent_at: float = 0.0
@@ -72,15 +74,14 @@
     extra = {name.replace("_", "-"): value for name, value in headers.items()}
     fields = {"Host": HOST, names.REQUEST_ID: request_id, names.DEADLINE_MS: "6000", **extra}
     received = Received(request_id, path, sent_at=now())
-    text = b""
     with suppress(aiohttp.ClientError, ConnectionError):
         async with session.post(url + path, headers=fields, data=b"prompt") as response:
             received.status, received.headers = response.status, dict(response.headers)
             async for chunk in response.content.iter_any():
-                text += chunk
+                received.text += chunk
                 if response.status != 200:
                     continue
-                received.events = parse_events(text.decode())
+                received.events = parse_events(received.text.decode())
                 if received.events and received.first_at is None:
                     received.first_at = now()
                 if stop_after is not None and len(received.events) >= stop_after:
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -8,7 +8,7 @@
 
 from apricotvale.exceptions import TruncatedStreamError
 from apricotvale.requests import event_splitter
-from apricotvale.requests.event_splitter import EventSplitter
+from apricotvale.requests.event_splitter import EventSplitter, StreamProgress
 
 STREAM = b"id: 3\ndata: a\n\n: ping\n\nid: 4\r\ndata: b\r\ndata: c\r\n\r\nid:5\ndata: d\n\n"
 
@@ -16,11 +16,11 @@
 @given(st.lists(st.integers(0, len(STREAM)), max_size=8))
 def test_pieces_make_no_difference(places):
     cuts = [0, *sorted(places), len(STREAM)]
-    splitter = EventSplitter(2)
+    splitter = EventSplitter(StreamProgress(2))
     passed = b"".join(splitter.feed(STREAM[a:b]) for a, b in zip(cuts, cuts[1:], strict=False))
     splitter.check_complete()
     assert passed == STREAM
-    assert (splitter.last_event_id, splitter.has_all_ids) == (5, True)
+    assert splitter.progress == StreamProgress(5, True)
 
 
 def test_an_incomplete_event_is_held_back():
@@ -28,21 +28,29 @@
     assert splitter.feed(b"id: 0\ndata: a\n\nid: 1\nda") == b"id: 0\ndata: a\n\n"
     with pytest.raises(TruncatedStreamError):
         splitter.check_complete()
-    splitter.discard_partial()
-    assert splitter.feed(b"id: 1\ndata: b\n\n") == b"id: 1\ndata: b\n\n"
+    next_run = EventSplitter(splitter.progress)
+    assert next_run.feed(b"id: 1\ndata: b\n\n") == b"id: 1\ndata: b\n\n"
 
 
 @pytest.mark.parametrize("event_id", [b"3", b"5", b"0", b"x", b"-1"])
 def test_an_event_out_of_sequence_is_an_error(event_id):
-    splitter = EventSplitter(3)
+    splitter = EventSplitter(StreamProgress(3))
     with pytest.raises(TruncatedStreamError):
         splitter.feed(b"id: %s\ndata: a\n\n" % event_id)
 
 
+def test_events_beside_a_faulty_one_do_not_count_as_passed_on():
+    """Guards against a missing event: what came with a faulty one was not passed on."""
+    splitter = EventSplitter(StreamProgress(3))
+    with pytest.raises(TruncatedStreamError):
+        splitter.feed(b"id: 4\ndata: a\n\nid: 9\ndata: b\n\n")
+    assert splitter.progress == StreamProgress(3)
+
+
 def test_a_stream_with_an_event_without_an_id_cannot_go_on():
     splitter = EventSplitter()
     assert splitter.feed(b"id: 0\ndata: a\n\ndata: b\n\n")
-    assert not splitter.has_all_ids
+    assert not splitter.progress.has_all_ids
 
 
 def test_an_event_without_an_end_is_an_error(monkeypatch):
