Find the usual origin of a stream by its location, not by its route

Cause: a stream without a record counts as begun at the usual origin, and that was looked up by the route that matches the take-up. The inference held only while the route was the same: a removed route left its streams to a shorter prefix with another usual origin, an added one had none yet, and a route that became resumable got one within a second, although its streams had not been recorded. A shorter longest timeout forgot records and usual origins of streams that still ran.

Ruled out: lost or overtaken records. Refusing all take-ups after a change of routes was not tried, as it loses them.

Change: a usual origin belongs to a host and path prefix in the replicated state, and is found by the location of the request. It is added only where none holds (checked in the state, two may be proposed at once) and removed only after no route has led there for two keeping times. Streams of routes that are not resumable are recorded too, without a wait. The keeping time shrinks one keeping time late. The choice runs over upstreams once a second, not once for each route.

Two unit tests stated the former design: a longer prefix that waits for a usual origin of its own, and no usual origin for routes that are not resumable. They are replaced by tests of what the design is for, that no stream counts as begun elsewhere, at any time.

--- a/src/apricotvale/daemons/origin_control.py
+++ b/src/apricotvale/daemons/origin_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -11,7 +12,7 @@
 from apricotvale.discovery import Origin, RegistryState, Standing
 from apricotvale.origins import calls
 from apricotvale.origins import commands as c
-from apricotvale.origins.book import OriginBook, UsualOrigins, route_key
+from apricotvale.origins.book import OriginBook, UsualOrigins, route_prefix, usual_origin
 from apricotvale.routes import Route, RouteKind, RouteTable
 
 # A caller takes a stream up within the time that it allows for the whole request.
@@ -21,10 +22,12 @@
 # is kept. Until then streams that began there without a record may be taken up.
 SETTLE_KEEPS = 2
 CHECK_INTERVAL_S = 1.0
+# Of the host and path of a request, in the log.
+MAX_LOGGED_CHARS = 200
 
 
 class OriginControl:
-    """Records the origins of streams, and chooses the usual origin of each route.
+    """Records the origins of streams, and chooses the usual origins of requests.
 
     :param book: returns the replicated record.
     :param registry: returns the registered upstreams.
@@ -32,8 +35,11 @@
     :param commit: commits a command and returns the reply for its caller.
     :param tasks: where commits run that no caller waits for.
 
-    `absent_since` holds since when a usual origin serves no more, and `seen_since` since when a
-    route without one is known, both by route.
+    `routes` holds the streaming routes, by prefix, and `prefixes` their prefixes in order. Routes
+    that are not resumable count as well, as they may become so while their streams run.
+    `absent_since` holds since when a usual origin serves no more, by prefix. A record is kept for
+    `keep_s`; `table_keep_s` is what the table asks for, and streams that began under a table that
+    asked for more may run until `shrink_at`.
     """
 
     def __init__(
@@ -50,27 +56,27 @@
         self.commit = commit
         self.tasks = tasks
         self.routes: dict[str, Route] = {}
-        self.keep_s = MIN_KEEP_S
+        self.prefixes: list[str] = []
+        self.keep_s = self.table_keep_s = MIN_KEEP_S
+        self.shrink_at = 0.0
         self.absent_since: dict[str, float] = {}
-        self.seen_since: dict[str, float] = {}
         self.turn_at = 0.0
         self.check_at = 0.0
 
     def on_table(self, table: RouteTable) -> None:
-        """Adopt the resumable routes of a table."""
+        """Adopt the streaming routes of a table."""
         self.routes = {
-            route_key(route): route
-            for route in table.routes
-            if route.kind is RouteKind.STREAM and route.resumable
+            route_prefix(route): route for route in table.routes if route.kind is RouteKind.STREAM
         }
+        self.prefixes = sorted(self.routes)
         longest_s = max((route.timeout_ms for route in self.routes.values()), default=0.0) / 1000
-        self.keep_s = max(MIN_KEEP_S, KEEP_TIMEOUTS * longest_s)
+        self.table_keep_s = max(MIN_KEEP_S, KEEP_TIMEOUTS * longest_s)
+        self.keep_s = max(self.keep_s, self.table_keep_s)
 
     def start_leading(self, now: float) -> None:
         """Count all times from now; what happened before is not known here."""
         self.absent_since.clear()
-        self.seen_since.clear()
-        self.turn_at = now + self.keep_s
+        self.shrink_at = self.turn_at = now + self.keep_s
         self.check_at = now
 
     def changes(self, position: int) -> UsualOrigins | None:
@@ -90,21 +96,21 @@
     async def on_find(self, request: calls.FindOrigin) -> calls.OriginFound | None:
         """Return the origin of a stream, None if this replica does not lead any more.
 
-        A stream without a record began at its route's usual origin. One that its caller does not
-        name might be any, so that it is known only while none is recorded.
+        A stream without a record began at the usual origin of its request. One that its caller does
+        not name might be any, so that it is known only while none is recorded.
         """
         if not await self.confirm():
             return None
         book = self.book()
         record = book.find(request.key) if request.key else None
-        usual = book.state.usual.get(request.route)
+        usual = usual_origin(book.state.usual, request.route)
         if record is not None:
             origin = record.origin
         else:
             origin = usual if request.key or book.is_empty else None
         events.emit(
             events.ORIGIN_FOUND,
-            route=request.route,
+            route=request.route[:MAX_LOGGED_CHARS],
             key=request.key,
             software=origin.software if origin else None,
             is_recorded=record is not None,
@@ -116,6 +122,10 @@
 
     def tick(self, now: float) -> None:
         """Forget old streams, and replace usual origins that serve no more."""
+        if self.keep_s == self.table_keep_s:
+            self.shrink_at = now + self.keep_s
+        elif now >= self.shrink_at:
+            self.keep_s = self.table_keep_s
         if now >= self.turn_at:
             self.turn_at = now + self.keep_s
             if not self.book().is_empty:
@@ -124,54 +134,66 @@
             return
         self.check_at = now + CHECK_INTERVAL_S
         usual = self.book().state.usual
-        for key in usual.keys() | self.routes.keys():
-            known = usual.get(key)
-            found = self.due_origin(key, known, now)
+        serving = self.serving_origins()
+        for prefix in sorted(usual.keys() | self.routes.keys()):
+            known = usual.get(prefix)
+            found = self.due_origin(prefix, known, serving, now)
             if found != known:
                 events.emit(
                     events.USUAL_ORIGIN_CHANGED,
-                    route=key,
+                    route=prefix,
                     former=known.software if known else None,
                     software=found.software if found else None,
                 )
-                self.tasks.start(self.commit(c.ReplaceUsualOrigin(key, known, found)))
+                self.tasks.start(self.commit(c.ReplaceUsualOrigin(prefix, known, found)))
 
-    def due_origin(self, key: str, known: Origin | None, now: float) -> Origin | None:
-        """Return the usual origin that a route should have now, None for none.
+    def due_origin(
+        self, prefix: str, known: Origin | None, serving: Counter[Origin], now: float
+    ) -> Origin | None:
+        """Return the usual origin that a prefix should have now, None for none.
 
-        Streams of a route that has none are all recorded, so that it gets one at once unless
-        requests of the route may have begun streams under another route.
+        Streams of requests that have none are all recorded, so that a prefix gets one at once. It
+        stays while any route leads requests below the prefix there, and for as long after that as
+        its streams may be taken up.
         """
-        serving = self.serving_origins(self.routes.get(key))
-        settle_s = SETTLE_KEEPS * self.keep_s
-        if known is not None:
-            if serving[known]:
-                self.absent_since.pop(key, None)
-                return known
-            absent_since = self.absent_since.setdefault(key, now)
-            return known if now < absent_since + settle_s else None
-        self.absent_since.pop(key, None)
-        seen_since = self.seen_since.setdefault(key, now)
-        if self.overlaps(key) and now < seen_since + settle_s:
-            return None
-        return max(sorted(serving, key=repr), key=lambda o: serving[o], default=None)
-
-    def overlaps(self, key: str) -> bool:
-        """Return whether another route with a usual origin matches some of a route's requests."""
-        return any(
-            other != key and (other.startswith(key) or key.startswith(other))
-            for other in self.book().state.usual
+        if known is None:
+            self.absent_since.pop(prefix, None)
+            if usual_origin(self.book().state.usual, prefix) is not None:
+                return None
+            return self.first_origin(self.routes[prefix], serving)
+        if serving[known] and known.service in self.services_at(prefix):
+            self.absent_since.pop(prefix, None)
+            return known
+        absent_since = self.absent_since.setdefault(prefix, now)
+        return known if now < absent_since + SETTLE_KEEPS * self.keep_s else None
+
+    def first_origin(self, route: Route, serving: Counter[Origin]) -> Origin | None:
+        """Return the usual origin for a prefix that has had none, None if none serves.
+
+        One that is usual elsewhere comes first, as a route may have moved to another host.
+        """
+        elsewhere = set(self.book().state.usual.values())
+        return max(
+            sorted((origin for origin in serving if route.leads_to(origin.service)), key=repr),
+            key=lambda origin: (origin in elsewhere, serving[origin]),
+            default=None,
         )
 
-    def serving_origins(self, route: Route | None) -> Counter[Origin]:
-        """Return the number of upstreams by origin, of those that a route's requests may reach."""
-        if route is None:
-            return Counter()
-        services = {backend.service for backend in route.backends if backend.weight > 0}
+    def services_at(self, prefix: str) -> set[str]:
+        """Return the services to which any route leads some of the requests below a prefix."""
+        found = []
+        for other in self.prefixes[bisect_left(self.prefixes, prefix) :]:
+            if not other.startswith(prefix):
+                break
+            found.append(self.routes[other])
+        shorter = [prefix[: n + 1] for n, character in enumerate(prefix) if character == "/"]
+        found += [self.routes[other] for other in shorter if other in self.routes]
+        return {b.service for route in found for b in route.backends if b.weight > 0}
+
+    def serving_origins(self) -> Counter[Origin]:
+        """Return the number of upstreams that are not silent by their origin."""
         return Counter(
             upstream.origin
             for upstream in self.registry().upstreams.values()
-            if upstream.service in services
-            and upstream.origin is not None
-            and upstream.standing is not Standing.SILENT
+            if upstream.origin is not None and upstream.standing is not Standing.SILENT
         )
--- a/src/apricotvale/daemons/origin_recorder.py
+++ b/src/apricotvale/daemons/origin_recorder.py
@@ -17,8 +17,9 @@
     REQUEST_CHARS,
     StreamRecord,
     UsualOrigins,
-    route_key,
+    request_location,
     stream_key,
+    usual_origin,
 )
 from apricotvale.outcomes import Reason, Refusal, not_run
 from apricotvale.requests.calls import Call, TakeUp
@@ -73,11 +74,11 @@
         """Return whether control has answered this process lately."""
         return clock.now() < self.confirmed_at() + MAX_UNCONFIRMED_S
 
-    def usual_origin(self, route: Route) -> Origin | None:
-        """Return the usual origin of a route, None if it has none or that is not known."""
+    def usual_origin(self, call: Call) -> Origin | None:
+        """Return the usual origin of a request, None if it has none or that is not known."""
         if clock.now() >= self.confirmed_at() + MAX_AGE_S:
             return None
-        return self.usual.by_route.get(route_key(route))
+        return usual_origin(self.usual.by_route, request_location(call.host, call.target))
 
     def note_begun(self, call: Call, origin: Origin | None) -> None:
         """Remember where a stream began whose first event is passed on now."""
@@ -103,6 +104,11 @@
         await future
         metrics.ORIGIN_RECORD_SECONDS.observe(clock.now() - started_at)
 
+    def finish_later(self, recording: asyncio.Task[None], deadline: float) -> None:
+        """Let a task that records an origin go on until a deadline on `clock.now`."""
+        left_s = max(0.0, deadline - clock.now())
+        asyncio.get_running_loop().call_later(left_s, recording.cancel)
+
     async def send_pending(self) -> None:
         """Send the records that wait, until none does."""
         while self.pending:
@@ -132,7 +138,8 @@
             reply = calls.OriginFound(known.origin, known.request != wanted.request)
         else:
             key = wanted.key if take_up.stream_id else ""
-            question = calls.FindOrigin(route_key(route), key, wanted.request)
+            location = request_location(call.host, call.target)
+            question = calls.FindOrigin(location, key, wanted.request)
             deadline = min(call.deadline, clock.now() + FIND_TIMEOUT_S)
             reply = await self.call(question, deadline, ATTEMPT_TIMEOUT_S)
         if isinstance(reply, Refusal):
@@ -143,7 +150,7 @@
         if origin is None:
             detail = "the software version that began the stream is not known; begin anew"
             return not_run(Reason.UNKNOWN_ORIGIN, detail, RETRY_AFTER_S)
-        if not any(b.service == origin.service and b.weight > 0 for b in route.backends):
+        if not route.leads_to(origin.service):
             detail = f"the route leads no more to {origin.service!r}, which began the stream"
             return not_run(Reason.UNKNOWN_ORIGIN, detail, RETRY_AFTER_S)
         return origin
--- a/src/apricotvale/daemons/stream_relay.py
+++ b/src/apricotvale/daemons/stream_relay.py
@@ -87,10 +87,10 @@
     def choose(self, request: ForwardedRequest, call: Call, now: float) -> Upstream | None:
         """Choose and log the upstream for the next copy; return None if none is left.
 
-        While control cannot be reached, a stream that needs no record comes first.
+        While control cannot be reached, an upstream whose streams need no record comes first.
         """
-        usual = self.recorder.usual_origin(request.route)
-        if request.origin is None and usual is not None and not self.recorder.has_control():
+        usual = self.recorder.usual_origin(call) if self.waits_for_record else None
+        if usual is not None and not self.recorder.has_control():
             usual_only = evolve(request, origin=usual)
             upstream = self.forwarder.choose(usual_only, call, now)
             if upstream is not None:
@@ -114,19 +114,24 @@
     # Sending
 
     async def send(self, upstream: Upstream, call: Call) -> OpenedStream | Answer | Refusal:
-        """Open a stream; return it once its first event is here and its origin is recorded.
+        """Open a stream; return it once its first event is here.
 
-        The record is made while the upstream works, so that it rarely delays the first event.
+        Its origin is recorded while the upstream works, so that this rarely delays the first event.
         """
         recording = self.start_recording(upstream.origin)
         sent_at = clock.now()
         try:
             result = await self.forwarder.send(upstream, call, partial(self.open, sent_at))
             if isinstance(result, OpenedStream):
-                if recording is not None:
-                    await recording
                 if result.origin != upstream.origin and self.records_origins:
-                    await self.record(result.origin)
+                    if recording is not None:
+                        recording.cancel()
+                    recording = self.recorder.tasks.start(self.record(result.origin))
+                if recording is not None and self.waits_for_record:
+                    await recording
+                elif recording is not None:
+                    self.recorder.finish_later(recording, call.deadline)
+                    recording = None
             return result
         finally:
             if recording is not None:
@@ -134,17 +139,25 @@
 
     @property
     def records_origins(self) -> bool:
-        """Return whether the stream begins here, and its caller may take it up elsewhere."""
-        return self.request.route.resumable and self.request.origin is None
+        """Return whether the stream begins here.
+
+        A route may become resumable while its streams run, so that those are recorded as well.
+        """
+        return self.request.origin is None
+
+    @property
+    def waits_for_record(self) -> bool:
+        """Return whether the origin has to be recorded before the first event is passed on."""
+        return self.records_origins and self.request.route.resumable
 
     def start_recording(self, origin: Origin | None) -> asyncio.Task[None] | None:
         """Start to record the origin of a copy, None if it needs no record."""
         if not self.records_origins:
             return None
-        usual = self.recorder.usual_origin(self.request.route)
+        usual = self.recorder.usual_origin(self.call)
         if origin is not None and origin == usual and not self.records:
             return None
-        return asyncio.create_task(self.record(origin))
+        return self.recorder.tasks.start(self.record(origin))
 
     async def record(self, origin: Origin | None) -> None:
         """Record the origin of the stream; a later record replaces it."""
@@ -317,7 +330,7 @@
             async with sender:
                 result = await sender.submit(call, supervision)
                 if isinstance(result, OpenedStream):
-                    if request.route.resumable and take_up is None:
+                    if take_up is None:
                         self.recorder.note_begun(call, result.origin)
                     yield RelayedStream(sender, supervision, result, self.resume_field)
                 else:
--- a/src/apricotvale/origins/book.py
+++ b/src/apricotvale/origins/book.py
@@ -32,7 +32,7 @@
 
 @frozen
 class UsualOrigins:
-    """The usual origins by route, as of a position."""
+    """The usual origins by host and path prefix, as of a position."""
 
     position: int
     by_route: dict[str, Origin]
@@ -42,11 +42,12 @@
 class OriginBookState:
     """The record, as stored in snapshots.
 
-    A stream without a record began at the usual origin of its route, so that streams need a record
-    only while several versions serve, or after a route has changed its service.
+    A stream without a record began at the usual origin of its request, so that streams need a
+    record only while several versions serve, or after a route has changed its service.
 
     :param position: log index of the last change of `usual`.
-    :param usual: usual origin, by route.
+    :param usual: usual origin, by host and path prefix. It holds for the requests below the prefix
+        whatever the routes are, so that a change of routes changes nothing for their streams.
     :param origins: the origins that `recent` and `former` refer to by index.
     :param recent: index of the origin, -1 if it is not known, request and attempt of the streams
         recorded since the last turn, by key; `former` holds those before it.
@@ -105,23 +106,43 @@
             state.origins = []
 
     def replace_usual(
-        self, route: str, former: Origin | None, origin: Origin | None, position: int
+        self, prefix: str, former: Origin | None, origin: Origin | None, position: int
     ) -> bool:
-        """Replace a route's usual origin; return whether it was the given one.
+        """Replace the usual origin of a prefix; return whether it was replaced.
+
+        It is not replaced if `former` is no longer its usual origin. Nor is one added below a
+        prefix that has one: unrecorded streams below both began at that one.
 
         :param former: the usual origin until now, None without one; `origin` likewise from now on.
         """
         usual = self.state.usual
-        if usual.get(route) != former or former == origin:
+        if usual.get(prefix) != former or former == origin:
+            return False
+        if former is None and usual_origin(usual, prefix) is not None:
             return False
         if origin is None:
-            del usual[route]
+            del usual[prefix]
         else:
-            usual[route] = origin
+            usual[prefix] = origin
         self.state.position = position
         return True
 
 
+def usual_origin(usual: dict[str, Origin], location: str) -> Origin | None:
+    """Return the usual origin of the longest prefix of a location, None if it has none.
+
+    :param usual: usual origin, by prefix; each prefix ends with a slash.
+    :param location: host and path, as returned by `request_location`.
+    """
+    end = location.rfind("/")
+    while end >= 0:
+        origin = usual.get(location[: end + 1])
+        if origin is not None:
+            return origin
+        end = location.rfind("/", 0, end)
+    return None
+
+
 def stream_key(caller: str, stream_id: str) -> str:
     """Return the key of a stream.
 
@@ -134,6 +155,14 @@
     return hashlib.blake2b(text.encode(), digest_size=KEY_BYTES).hexdigest()
 
 
-def route_key(route: Route) -> str:
-    """Return the key of a route, which identifies the requests that it matches."""
+def route_prefix(route: Route) -> str:
+    """Return the host and path prefix that a route matches."""
     return f"{route.host.lower()}{route.prefix}"
+
+
+def request_location(host: str, target: str) -> str:
+    """Return the host and path of a request.
+
+    :param target: path and query.
+    """
+    return f"{host.lower()}{target.partition('?')[0]}"
--- a/src/apricotvale/origins/calls.py
+++ b/src/apricotvale/origins/calls.py
@@ -19,7 +19,7 @@
 class FindOrigin:
     """Ask which origin a stream has.
 
-    :param route: key of the route that the request matches.
+    :param route: host and path of the request that goes on with it.
     :param key: key of the stream, empty if its caller does not name it.
     :param request: begin of the identity of the request that goes on with it.
     """
--- a/src/apricotvale/origins/commands.py
+++ b/src/apricotvale/origins/commands.py
@@ -22,7 +22,10 @@
 
 @frozen
 class ReplaceUsualOrigin:
-    """Replace the usual origin of a route, None for no usual origin."""
+    """Replace a usual origin, None for no usual origin.
+
+    :param route: host and path prefix for which it holds.
+    """
 
     route: str
     former: Origin | None
--- a/src/apricotvale/routes/table.py
+++ b/src/apricotvale/routes/table.py
@@ -60,6 +60,10 @@
     keep_ms: float = 0.0
     is_public: bool = False
 
+    def leads_to(self, service: str) -> bool:
+        """Return whether some of the route's requests go to a service."""
+        return any(b.service == service and b.weight > 0 for b in self.backends)
+
 
 @frozen
 class Engine:
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from attrs import evolve
 
 from apricotvale.codec import decode, encode
 from apricotvale.daemons import origin_control
@@ -16,8 +17,10 @@
     OriginBook,
     OriginBookState,
     StreamRecord,
-    route_key,
+    request_location,
+    route_prefix,
     stream_key,
+    usual_origin,
 )
 from apricotvale.routes import Backend, Route, RouteKind, RouteTable, Service
 
@@ -25,9 +28,10 @@
 SETTLE_S = origin_control.SETTLE_KEEPS * origin_control.MIN_KEEP_S
 
 
-def make_route(prefix="/chats/", service="lm", resumable=True):
+def make_route(prefix="/chats/", service="lm", resumable=True, host="h", timeout_ms=8000):
     backends = (Backend(service, 1),)
-    return Route("r", "h", prefix, RouteKind.STREAM, backends, 8000, resumable=resumable)
+    kind = RouteKind.STREAM
+    return Route("r", host, prefix, kind, backends, timeout_ms, resumable=resumable)
 
 
 def make_table(*routes):
@@ -73,8 +77,13 @@
         await task
 
 
+async def found_at(control, location):
+    """Return the origin of a stream without a record."""
+    return (await control.on_find(calls.FindOrigin(location, "unrecorded", "r"))).origin
+
+
 def usual(book):
-    return book.state.usual.get(route_key(make_route()))
+    return book.state.usual.get(route_prefix(make_route()))
 
 
 def test_a_record_is_kept_for_one_to_two_turns(book):
@@ -161,29 +170,131 @@
     assert usual(book) == V1
 
 
-async def test_a_route_that_another_one_covers_waits_for_its_usual_origin(control, book, registry):
-    """Guards against streams that began under the other route without a record."""
+async def test_a_route_that_another_one_covers_has_its_usual_origin(control, book, registry):
+    """Guards against streams that began under the other route without a record.
+
+    The usual origin below the longer prefix must not change while it serves, however long the route
+    is in force and whatever most upstreams are.
+    """
     register(registry, "e-0", "v1")
     await tick(control, 0.0)
     narrow = make_route("/chats/a/")
     control.on_table(make_table(make_route(), narrow))
+    for number in range(3):
+        register(registry, f"n-{number}", "v2")
+    for now in (10.0, 10.0 + SETTLE_S, 12.0 + 5 * SETTLE_S):
+        await tick(control, now)
+        assert await found_at(control, "h/chats/a/1") == V1
+
+
+async def test_two_routes_that_are_added_at_once_do_not_replace_one_another(
+    control, book, registry
+):
+    """Guards against streams that begin without a record between the two commits."""
+    register(registry, "e-0", "v1")
+    register(registry, "o-0", "v1", "other")
+    narrow = make_route("/chats/a/", "other")
+    control.on_table(make_table(narrow, make_route()))
+    await tick(control, 0.0)
+    assert book.state.usual == {"h/chats/": V1}
+
+
+async def test_a_removed_route_s_streams_keep_their_usual_origin(control, book, registry):
+    """Guards against streams without a record that count as begun at the shorter route's origin."""
+    register(registry, "e-0", "v1")
+    register(registry, "e-1", "v2")
+    book.state.usual = {"h/chats/": V1, "h/chats/a/": V2}
+    control.on_table(make_table(make_route()))
     await tick(control, 10.0)
-    assert route_key(narrow) not in book.state.usual
-    await tick(control, 10.0 + SETTLE_S)
-    assert book.state.usual[route_key(narrow)] == V1
+    await tick(control, 10.0 + 2 * SETTLE_S)
+    assert await found_at(control, "h/chats/a/1") == V2
+    assert await found_at(control, "h/chats/b/1") == V1
+    registry.depart("e-1", 2)
+    await tick(control, 20.0 + 2 * SETTLE_S)
+    assert await found_at(control, "h/chats/a/1") == V2
+    await tick(control, 20.0 + 3 * SETTLE_S)
+    assert await found_at(control, "h/chats/a/1") == V1
+
+
+async def test_a_route_that_moves_to_another_host_keeps_its_usual_origin(control, book, registry):
+    """Guards against streams without a record that are taken up at the route's new host."""
+    register(registry, "e-0", "v1")
+    await tick(control, 0.0)
+    for number in range(3):
+        register(registry, f"n-{number}", "v2")
+    control.on_table(make_table(make_route(host="i")))
+    await tick(control, 10.0)
+    assert await found_at(control, "i/chats/1") == V1
 
 
-async def test_routes_without_resumable_streams_have_no_usual_origin(control, book, registry):
+async def test_streams_of_a_route_that_is_not_resumable_yet_are_known(control, book, registry):
+    """Guards against a usual origin that is chosen once the route becomes resumable.
+
+    The streams that run by then began before it, at any origin.
+    """
     register(registry, "e-0", "v1")
     control.on_table(make_table(make_route(resumable=False)))
     await tick(control, 0.0)
+    for number in range(3):
+        register(registry, f"n-{number}", "v2")
+    control.on_table(make_table(make_route()))
+    await tick(control, 10.0)
+    assert await found_at(control, "h/chats/1") == V1
+
+
+async def test_streams_of_a_long_timeout_keep_their_records_when_it_becomes_short(
+    control, book, registry
+):
+    """Guards against records and usual origins that are forgotten while their streams run."""
+    long_s = 4 * origin_control.MIN_KEEP_S
+    register(registry, "e-0", "v1")
+    control.on_table(make_table(make_route(timeout_ms=1000 * long_s)))
+    keep_s = origin_control.KEEP_TIMEOUTS * long_s
+    control.start_leading(0.0)
+    await tick(control, 0.0)
+    control.on_table(make_table(make_route()))
+    book.record(StreamRecord("s", "r", V2))
+    registry.depart("e-0", 2)
+    for now in range(1, int(keep_s)):
+        await tick(control, float(now))
+    assert book.find("s") is not None and usual(book) == V1
+    await tick(control, keep_s + 1)
+    assert control.keep_s == origin_control.MIN_KEEP_S
+
+
+async def test_routes_without_streams_have_no_usual_origin(control, book, registry):
+    register(registry, "e-0", "v1")
+    control.on_table(make_table(evolve(make_route(), kind=RouteKind.SAFE)))
+    await tick(control, 0.0)
     assert not book.state.usual
 
 
+@pytest.mark.parametrize(
+    ("location", "origin"),
+    [
+        ("h/chats/1", V1),
+        ("h/chats/", V1),
+        ("h/chats/long/1", V2),
+        ("h/chats/long", V1),
+        ("h/chats/longer/1", V1),
+        ("h/chats", None),
+        ("h/other/1", None),
+        ("i/chats/1", None),
+        ("", None),
+    ],
+)
+def test_a_request_has_the_usual_origin_of_the_longest_prefix(location, origin):
+    assert usual_origin({"h/chats/": V1, "h/chats/long/": V2}, location) == origin
+
+
+def test_the_location_of_a_request_has_no_query():
+    assert request_location("H", "/Chats/1?a=/chats/long/") == "h/Chats/1"
+
+
 async def test_streams_that_cannot_be_known_have_no_origin(control, book, registry):
     register(registry, "e-0", "v1")
     await tick(control, 0.0)
-    key = route_key(make_route())
+    key = "h/chats/1"
     unnamed, named = calls.FindOrigin(key), calls.FindOrigin(key, "s", "r")
     assert await control.on_find(unnamed) == calls.OriginFound(V1)
     assert await control.on_find(named) == calls.OriginFound(V1)
--- a/tests/test_stream_takeups.py
+++ b/tests/test_stream_takeups.py
@@ -152,6 +152,19 @@
     assert len(went_on(pairs)) == STREAMS
 
 
+async def test_streams_that_cannot_be_taken_up_begin_without_control(chats):
+    """Guards against streams that wait for a record which only a change of routes would need."""
+    await put_chats(chats, version=3, resumable=False)
+    for task in chats.tasks[: len(chats.controls)]:
+        task.cancel()
+    streams = [
+        read_stream(chats.session, chats.url, f"r-{n}", f"/chats/{n}") for n in range(STREAMS)
+    ]
+    received = await asyncio.gather(*streams)
+    assert all(r.is_whole and r.first_at - r.sent_at < 0.5 for r in received)
+    assert set().union(*(r.versions for r in received)) == {"v1", "v2"}
+
+
 async def test_a_stream_goes_on_within_one_answer_at_its_version(chats):
     """Guards against a stream that the entry itself resumes at another version."""
     extra = await chats.standin("e-2", "lm", {"m": 1})
