Clear a request whose streams outlast those under which upstreams ended

Cause: without customers equal requests of all callers are one request. Three ends condemn it, also when they come at the same moment, and only a whole answer clears it; a stream is answered at its end. That its streams went on at the other upstreams counted for nothing.

Change: a crash holds how long the request had run there (ran_ms, 0 in older records, which are never outlasted). A stream that brings bytes after it has run for longer clears the request, if it and all runs that ended began before the request was first suspected.

Left: if all upstreams that run the request end at once, nothing outlasts it; plain requests.

--- a/src/apricotvale/crashes/book.py
+++ b/src/apricotvale/crashes/book.py
@@ -22,12 +22,14 @@
     :param upstream: incarnation that ended.
     :param process: process that had sent the submission there.
     :param at_ms: wall-clock time of that process, in Unix milliseconds.
+    :param ran_ms: time for which the submission had been in flight there, 0 if it is not known.
     """
 
     upstream: str
     process: str
     request_id: str
     at_ms: int
+    ran_ms: int = 0
 
 
 @frozen
--- a/src/apricotvale/crashes/evidence.py
+++ b/src/apricotvale/crashes/evidence.py
@@ -38,6 +38,7 @@
 
     :param at_ms: wall-clock time, in Unix milliseconds.
     :param until: until when evidence about the upstream counts, in monotonic seconds.
+    :param ran_ms: time for which the submission had been in flight, 0 if it is not known.
     """
 
     identity: str
@@ -46,6 +47,7 @@
     at_ms: int
     until: float
     is_trial: bool = False
+    ran_ms: int = 0
 
 
 def is_planned(upstream: Upstream, view: RegistryView) -> bool:
--- a/src/apricotvale/crashes/known.py
+++ b/src/apricotvale/crashes/known.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from attrs import define, field, frozen
 
 from apricotvale.crashes.book import (
@@ -15,6 +17,10 @@
 # What a process found is kept for this long until control confirms it.
 OWN_KEEP_S = 60.0
 MAX_OWN = 256
+FIRST_KNOWN_KEEP_S = 600.0
+MAX_FIRST_KNOWN = 1024
+# Bytes that an upstream sent before its end may arrive this much later.
+OUTLAST_MARGIN_S = 0.3
 
 
 @frozen
@@ -30,6 +36,18 @@
         return len(self.crashes) >= CONDEMNING_CRASHES
 
 
+@frozen
+class FirstSuspicion:
+    """When a request was first suspected.
+
+    :param at: in monotonic seconds.
+    :param at_ms: wall-clock time, in Unix milliseconds.
+    """
+
+    at: float
+    at_ms: int
+
+
 @define
 class KnownSuspects:
     """Suspects from control, and those that this process found and control does not have yet.
@@ -37,11 +55,14 @@
     What this process found takes effect here at once, and does not depend on control.
 
     :param position: position of the newest delta.
+    :param first_known: when this process first knew a request as suspected; kept for a while after
+        the request was cleared.
     """
 
     position: int = -1
     shared: dict[str, KnownSuspect] = field(factory=dict)
     own: dict[str, KnownSuspect] = field(factory=dict)
+    first_known: dict[str, FirstSuspicion] = field(factory=dict)
 
     @property
     def is_empty(self) -> bool:
@@ -71,6 +92,7 @@
             return
         if identity not in self.own and len(self.own) >= MAX_OWN:
             del self.own[min(self.own, key=lambda i: self.own[i].ends_at)]
+        self.note_suspected(identity, now)
         own = self.own.get(identity)
         crashes = own.crashes if own else ()
         self.own[identity] = KnownSuspect((*crashes, crash), now + OWN_KEEP_S)
@@ -78,11 +100,36 @@
     def learn(self, notice: SuspectNotice, now: float) -> None:
         """Adopt what control has of a request, in place of what this process found."""
         suspect = notice.suspect
+        self.note_suspected(suspect.identity, now)
         self.own.pop(suspect.identity, None)
         self.shared[suspect.identity] = KnownSuspect(
             tuple(suspect.crashes), now + notice.left_ms / 1000
         )
 
+    def note_suspected(self, identity: str, now: float) -> None:
+        """Note that a request is suspected now; an earlier time stays."""
+        if identity in self.first_known:
+            return
+        if len(self.first_known) >= MAX_FIRST_KNOWN:
+            del self.first_known[next(iter(self.first_known))]
+        self.first_known[identity] = FirstSuspicion(now, round(time.time() * 1000))
+
+    def is_outlasted(self, identity: str, sent_at: float, now: float) -> bool:
+        """Return whether a stream shows that its request is not what ended the upstreams.
+
+        It has to have run for longer than the request ran at each upstream that ended, and to have
+        begun before the request was first suspected, as all of these runs: a request that ends its
+        upstreams after different times is not cleared again and again.
+
+        :param sent_at: when the copy whose stream goes on was sent, in monotonic seconds.
+        """
+        suspect, first = self.find(identity, now), self.first_known.get(identity)
+        if suspect is None or first is None or sent_at >= first.at:
+            return False
+        ran_before = all(c.ran_ms and c.at_ms - c.ran_ms < first.at_ms for c in suspect.crashes)
+        longest_run_s = max(crash.ran_ms for crash in suspect.crashes) / 1000
+        return ran_before and now - sent_at > longest_run_s + OUTLAST_MARGIN_S
+
     def forget(self, identity: str) -> None:
         """Drop a request that is not suspected any more."""
         self.shared.pop(identity, None)
@@ -104,3 +151,5 @@
         """Drop the records that have ended."""
         self.shared = {i: s for i, s in self.shared.items() if now < s.ends_at}
         self.own = {i: s for i, s in self.own.items() if now < s.ends_at}
+        since = now - FIRST_KNOWN_KEEP_S
+        self.first_known = {i: first for i, first in self.first_known.items() if first.at > since}
--- a/src/apricotvale/daemons/crash_guard.py
+++ b/src/apricotvale/daemons/crash_guard.py
@@ -135,6 +135,7 @@
         """
         call, is_trial = supervision.call, supervision.has_trial_at(upstream)
         at_ms = round(time.time() * 1000)
+        ran_ms = max(1, round((clock.now() - started_at) * 1000))
         accepts = await check
         now = clock.now()
         events.emit(
@@ -142,10 +143,11 @@
             request=call.request_id,
             identity=call.identity,
             upstream=upstream.incarnation,
-            ran_ms=round((now - started_at) * 1000),
+            ran_ms=ran_ms,
             accepts=accepts,
         )
-        loss = Loss(call.identity, call.request_id, upstream, at_ms, now + LOSS_KEEP_S, is_trial)
+        until = now + LOSS_KEEP_S
+        loss = Loss(call.identity, call.request_id, upstream, at_ms, until, is_trial, ran_ms)
         if supervision.is_answered:
             # Another copy of the submission was answered meanwhile, which clears the request.
             return
@@ -169,7 +171,9 @@
         """Record the ends of upstreams here at once, and report them to control."""
         now = clock.now()
         for loss in losses:
-            crash = Crash(loss.upstream.incarnation, self.name, loss.request_id, loss.at_ms)
+            crash = Crash(
+                loss.upstream.incarnation, self.name, loss.request_id, loss.at_ms, loss.ran_ms
+            )
             metrics.CRASHES_FOUND.inc()
             self.on_ended(loss.upstream)
             events.emit(
--- a/src/apricotvale/daemons/stream_relay.py
+++ b/src/apricotvale/daemons/stream_relay.py
@@ -242,6 +242,7 @@
                     yield opened.first
                 async for chunk in opened.rest:
                     data = opened.split(chunk)
+                    self.supervision.on_progress(opened.sent_at)
                     if data:
                         self.note_progress(opened)
                         yield data
--- a/src/apricotvale/daemons/supervision.py
+++ b/src/apricotvale/daemons/supervision.py
@@ -137,6 +137,28 @@
         elif self.trial in (TrialState.GRANTED, TrialState.EXEMPT):
             self.give_back(answered=False)
 
+    def on_progress(self, sent_at: float) -> None:
+        """Clear the request if its stream has outlasted the runs under which upstreams ended.
+
+        Load pattern: many callers follow the same feed when several upstreams end for another
+        cause. A request that ends each upstream that runs it would have ended this one too.
+
+        :param sent_at: when the copy whose stream brings bytes now was sent, on `clock.now`.
+        """
+        now = clock.now()
+        suspicion = self.suspicion(now)
+        if suspicion is None:
+            return
+        if self.guard.known.is_outlasted(self.call.identity, sent_at, now):
+            events.emit(
+                events.REQUEST_OUTLASTED,
+                request=self.call.request_id,
+                identity=self.call.identity,
+                crashes=len(suspicion.crashes),
+                ran_ms=round((now - sent_at) * 1000),
+            )
+            self.give_back(answered=True)
+
     def give_back(self, answered: bool = False) -> None:
         """End the trial, or what takes its place; the next copy needs another one."""
         if answered or self.trial is TrialState.GRANTED:
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -126,6 +126,12 @@
     "INFO",
     "A copy in flight was cancelled: another submission of the request under suspicion runs.",
 )
+REQUEST_OUTLASTED = event(
+    367,
+    "request-outlasted",
+    "INFO",
+    "A stream ran longer than those of its request under which upstreams ended, and clears it.",
+)
 
 KEY_REJECTED = event(
     320, "key-rejected", "INFO", "A request was refused: its key is missing or not known."
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -74,6 +74,8 @@
     :param cut_after: number of events after which a run breaks off; None for none.
     :param breaks: how the next runs break off, the first one first: the number of events before,
         what is sent of the next event, and whether the connection is reset; None for a whole run.
+    :param deadly_events: number of events of a run with a deadly body after which it ends the
+        upstream; None to end it without an answer.
     """
 
     upstream_id: str
@@ -112,6 +114,7 @@
     marks_events: bool = False
     mark: str = ""
     cut_after: int | None = None
+    deadly_events: int | None = None
     breaks: list[tuple[int, Callable[[bytes], bytes], bool] | None] = field(factory=list)
 
     async def __aenter__(self):
@@ -209,14 +212,14 @@
             return await self.send(writer, 421, [("Replica-Id", self.upstream_id), echo], b"")
         if self.is_down:
             return False
-        if body in self.deadly:
+        if body in self.deadly and self.deadly_events is None:
             await asyncio.sleep(self.crash_s)
             # A request whose connection was closed is dropped.
             if not self.is_down and not writer.is_closing() and not reader.at_eof():
                 self.crashed_by.append(headers.get("request-id", ""))
                 self.crash()
             return False
-        return await self.answer(writer, headers)
+        return await self.answer(writer, headers, body)
 
     def statements(self):
         """Return the header fields with which answers describe the upstream."""
@@ -251,7 +254,7 @@
         await writer.drain()
         return True
 
-    async def answer(self, writer, headers):
+    async def answer(self, writer, headers, request_body):
         request_id = headers.get("request-id", "")
         valid_headers = [("Request-Id", request_id), ("Server-Stamp", f"stamp-{request_id}")]
         body = f"body of {request_id}".encode() if self.body is None else self.body
@@ -292,10 +295,11 @@
                 await self.send(writer, 200, valid_headers, body)
                 return await self.send(writer, 200, valid_headers, b"an answer nobody asked for")
             case "stream" | "cut stream" | "lost end":
-                return await self.stream(writer, headers, valid_headers)
+                ends_at = self.deadly_events if request_body in self.deadly else None
+                return await self.stream(writer, headers, valid_headers, ends_at)
         return False
 
-    async def stream(self, writer, headers, valid_headers):
+    async def stream(self, writer, headers, valid_headers, ends_at):
         await asyncio.sleep(self.first_s)
         version = next(iter(self.models.values()), 1)
         lines = [f"{name}: {value}" for name, value in valid_headers]
@@ -310,6 +314,11 @@
             if self.behaviour == "cut stream" and number == start + 2:
                 writer.write(b"9\r\nid: 2\nda")
                 return False
+            if ends_at is not None and number == start + ends_at:
+                if not self.is_down:
+                    self.crashed_by.append(headers.get("request-id", ""))
+                    self.crash()
+                return False
             if self.cut_after is not None and number == start + self.cut_after:
                 return False
             data = f"{self.mark or self.software}.{number}" if self.marks_events else f"e{number}"
