--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -167,7 +167,11 @@
     desk.limit = "1"
     for number in range(8):
         await site.request("/fees/x", f"a-{number}")
-    assert (await find_leader(site)).state.registry.limit_of("d-0", 1) == 1.0
+
+    async def known_limit():
+        return (await find_leader(site)).state.registry.limit_of("d-0", 1)
+
+    await site.wait_until(known_limit, lambda limit: limit == 1.0, SETTLE_S)
     desk.limit, desk.born = None, 2
     await site.send_heartbeats()
     registry = (await find_leader(site)).state.registry
