Move the search for a leader on once for calls that fail together

Cause: an entry's calls share one LeaderClient. Each call that fails moves the shared search on by one address. Twelve calls that fail at the same moment move it on by twelve, which may be the address that they left; they wait there for the same time, and so on until each is out of time.

Ruled out: a leader that cannot commit, and a process that had ended.

Change: a call moves on only if the search is still where the call failed, or at an address that the call knows as silent.

tests/test_leader_search.py::test_calls_that_fail_together_find_the_leader: 3 of 18 cases failed before (3 calls at a closed address or one that names nobody, 9 calls at a silent one), 0 after.

--- a/src/apricotvale/daemons/leader_client.py
+++ b/src/apricotvale/daemons/leader_client.py
@@ -65,7 +65,7 @@
                 self.disconnect(address)
                 if isinstance(error, TimeoutError):
                     silent.add(address)
-                self.search_on(silent)
+                self.leave(address, silent)
                 await asyncio.sleep(min(RETRY_PAUSE_S, max(0.0, remaining)))
                 continue
             if isinstance(reply, Redirect):
@@ -74,11 +74,22 @@
                 else:
                     # Another replica that names the same address knows it better.
                     silent.discard(reply.address)
-                    self.search_on(silent)
+                    self.leave(address, silent)
                 await asyncio.sleep(RETRY_PAUSE_S)
             elif not isinstance(reply, Unconfirmed):
                 return reply
 
+    def leave(self, address: str, silent: set[str]) -> None:
+        """Search on from an address that does not lead, unless another call has done so.
+
+        Load pattern: many calls fail at the same address at the same time. If each of them moved on
+        by one, they would end at the address that they left.
+
+        :param silent: as in `search_on`.
+        """
+        if self.current_address == address or self.current_address in silent:
+            self.search_on(silent)
+
     def search_on(self, silent: set[str]) -> None:
         """Ask the next address that is neither the current one nor silent.
 
--- a/tests/test_leader_search.py
+++ b/tests/test_leader_search.py
@@ -17,6 +17,9 @@
 ATTEMPT_TIMEOUT_S = 0.3
 # Enough for each replica to be asked several times.
 SEARCH_S = 5.0
+# A caller that takes a stream up waits this long for the origin.
+FIND_S = 1.7
+FIND_ATTEMPT_S = 0.5
 
 
 @asynccontextmanager
@@ -98,3 +101,29 @@
             assert await read_table(client) == calls.TableRead(7, b"t")
             client.clients[leader].channel.transport.abort()
         client.close()
+
+
+@pytest.mark.parametrize("former", ["silent", "closed", "names nobody"])
+@pytest.mark.parametrize("number", [2, 3, 5, 6, 9, 12])
+async def test_calls_that_fail_together_find_the_leader(former, number):
+    """Guards against take-ups that are all refused after a leader was lost.
+
+    Each of the calls would move on by one, and all of them together back to the former leader.
+    """
+    async with AsyncExitStack() as stack:
+        leader = await stack.enter_async_context(serving(replying(calls.TableRead(7, b"t"))))
+        follower = await stack.enter_async_context(serving(replying(Redirect(leader))))
+        if former == "closed":
+            first = free_address()
+        else:
+            handler = never_reply if former == "silent" else replying(Redirect())
+            first = await stack.enter_async_context(serving(handler))
+        for order in ([first, follower, leader], [leader, first, follower]):
+            client = LeaderClient(order, FLEET)
+            client.current_address = client.searched_address = first
+            deadline = client.now() + FIND_S
+            replies = await asyncio.gather(
+                *(client.call(calls.ReadTable(), deadline, FIND_ATTEMPT_S) for _ in range(number))
+            )
+            assert replies == [calls.TableRead(7, b"t")] * number, order
+            client.close()
