Ask the members of a newer group before a replaced voter recovers

C is down and spare replica D takes its place; a configuration is acknowledged; D goes down; A and then, 5.2 s later, B lose their disks. C comes back, leads, and every replica answers with the configuration before the acknowledged one. D joins later and its copy is dropped: the change, and jobs and results in the same log, are gone for good.

Cause: a recovery election needs an answer from every member of the group in the candidate's log. C's log ends before the entry that added D, and A and B, which knew it, are empty.

Change: vote requests name the newest group that the candidate knows, with the position of its entry in the log. Replies name it to candidates that know only an older one, and a recovery needs an answer, or a successor's, from its members too. C so waits for D, which leads when it is back.

Ruled out: empty replicas that refuse candidates with an older group. The group would never lead again when D has lost its disk too.

--- a/src/apricotvale/consensus/messages.py
+++ b/src/apricotvale/consensus/messages.py
@@ -33,14 +33,6 @@
     payload: bytes = b""
 
 
-@frozen
-class HardState:
-    """State that must survive a restart: the term and the data id of the candidate voted for."""
-
-    term: int = 0
-    voted_for: str = ""
-
-
 @frozen
 class GroupMember:
     """A replica in the group.
@@ -86,6 +78,37 @@
         return len(self.voters()) // 2 + 1
 
 
+@frozen
+class KnownGroup:
+    """A group with the position in the log of the entry that holds it.
+
+    :param term: term of the entry; of two groups, the one of the later term is newer, and within a
+        term the one of the higher index.
+    """
+
+    term: int
+    index: int
+    group: Group
+
+    def is_newer_than(self, other: KnownGroup) -> bool:
+        """Return whether this group may have replaced another one."""
+        return (self.term, self.index) > (other.term, other.index)
+
+
+@frozen
+class HardState:
+    """State that must survive a restart.
+
+    :param voted_for: data id of the candidate voted for in the term; empty for none.
+    :param named_group: the newest group that another replica named in an election, None if none
+        was newer than that of the log.
+    """
+
+    term: int = 0
+    voted_for: str = ""
+    named_group: KnownGroup | None = None
+
+
 @frozen
 class Part:
     """A piece of a snapshot's state that is stored and transferred by itself.
@@ -130,6 +153,7 @@
     :param transfer: part of a leadership transfer; an active leader is no reason to refuse.
     :param target_name: name of the replica asked; one that runs under this name with another data
         folder answers that the target's is lost.
+    :param group: the newest group that the candidate knows.
     """
 
     source: str
@@ -140,6 +164,7 @@
     pre: bool = False
     transfer: bool = False
     target_name: str = ""
+    group: KnownGroup | None = None
 
 
 @define
@@ -149,6 +174,7 @@
     :param lost: data id of the request's target if that data folder is lost and the source, which
         has the same name, answers in its place.
     :param has_log: whether the source holds a log, so that it may lead.
+    :param group: the newest group that the source knows, if it is newer than the request's.
     """
 
     source: str
@@ -158,6 +184,7 @@
     pre: bool = False
     lost: str = ""
     has_log: bool = True
+    group: KnownGroup | None = None
 
 
 @define
--- a/src/apricotvale/consensus/node.py
+++ b/src/apricotvale/consensus/node.py
@@ -20,9 +20,11 @@
     Entry,
     EntryKind,
     Group,
+    GroupMember,
     HardState,
     InstallRequest,
     JoinRequest,
+    KnownGroup,
     PeerMessage,
     Snapshot,
     VoteReply,
@@ -144,6 +146,25 @@
         """Return the current group, which is the last one in the log, committed or not."""
         return self.groups[-1][1]
 
+    @property
+    def newest_group(self) -> KnownGroup:
+        """Return the newest group that this replica knows, from its log or from an election."""
+        index, group = self.groups[-1]
+        # The term of an entry that was compacted away is unknown; the snapshot's is no earlier.
+        index = max(index, self.log.snapshot.index)
+        own = KnownGroup(self.log.term_at(index) or 0, index, group)
+        named = self.hard_state.named_group
+        return named if named is not None and named.is_newer_than(own) else own
+
+    def electorate(self) -> list[GroupMember]:
+        """Return the members of this replica's group, and those that a newer group adds."""
+        newest = self.newest_group.group.members
+        return [*self.group.members, *(m for m in newest if self.group.find(m.data_id) is None)]
+
+    def find_member(self, data_id: str) -> GroupMember | None:
+        """Return the member of the own or of the newest group with this data id, or None."""
+        return self.group.find(data_id) or self.newest_group.group.find(data_id)
+
     @property
     def is_voter(self) -> bool:
         """Return whether this replica is a voter."""
@@ -238,8 +259,9 @@
     ) -> None:
         """Start a pre-vote or an election and request votes from the other members.
 
-        The votes of learners count only in a recovery, and so does an election of a learner or, in
-        a closed group, of a replica that only has the name of a member.
+        The votes of learners and of members that only a newer group has count only in a recovery,
+        and so does an election of a learner or, in a closed group, of a replica that only has the
+        name of a member.
 
         A retry after a split vote comes sooner than the first attempt: the leader is already
         known to be silent, and the pre-vote prevents the disruption of an active one. The wait
@@ -274,12 +296,14 @@
         if recovery:
             term = (self.term // RECOVERY_TERM_STEP + 1) * RECOVERY_TERM_STEP
         if not pre:
-            self.set_hard_state(HardState(term, self.data_id))
+            self.set_hard_state(evolve(self.hard_state, term=term, voted_for=self.data_id))
         self.votes = {self.data_id}
         self.empty_members = set()
+        newest = self.newest_group
+        predecessors += newest.group.predecessors(self.data_id, self.name)
         self.successors = dict.fromkeys(predecessors, self.data_id)
         log = self.log
-        for member in self.group.members:
+        for member in self.electorate():
             if member.name == self.name:
                 continue
             self.send(
@@ -292,6 +316,7 @@
                     pre,
                     transfer,
                     member.name,
+                    newest,
                 )
             )
         self.count_votes(now)
@@ -332,12 +357,14 @@
         So many voters have to be lost or empty that no majority can elect one of its own, and
         every member has to grant its vote, or its successor in its place. Each data folder that
         exists is then at most as up to date as this replica's. A member that does not answer,
-        since it is cut off or down, may hold more.
+        since it is cut off or down, may hold more. A group that has replaced this replica may have
+        members that its log does not name; the replicas that it asks name the newest group of
+        which they have heard.
         """
         voters_with_log = set(self.group.voters()) - self.successors.keys() - self.empty_members
         if len(voters_with_log) >= self.group.quorum():
             return False
-        members = {member.data_id for member in self.group.members}
+        members = {member.data_id for member in self.electorate()}
         return members <= self.votes | self.successors.keys()
 
     def become_leader(self, now: float, recovers: bool = False) -> None:
@@ -373,6 +400,7 @@
         For a leadership transfer, an active leader is no reason to refuse. A pre-vote does not
         depend on votes cast.
         """
+        self.learn_group(request.group)
         heard_recently = now < self.leader_heard_at + self.timing.election_timeout_s
         leader_alive = heard_recently and not self.leader_is_down
         if self.role is Role.LEADER:
@@ -399,13 +427,27 @@
             self.election_at = self.election_deadline(now)
         self.reply_vote(request, granted)
 
+    def learn_group(self, named: KnownGroup | None) -> None:
+        """Store a group that another replica names, if it is newer than all that are known.
+
+        It outlives the log of the replica that names it: a candidate whose log is older then asks
+        the members of this group too.
+        """
+        if named is not None and named.is_newer_than(self.newest_group):
+            self.set_hard_state(evolve(self.hard_state, named_group=named))
+
     def reply_vote(self, request: VoteRequest, granted: bool) -> None:
         """Reply with the request's term if the vote is granted, else with this replica's term."""
         term = request.term if granted else self.term
         lost = request.target if request.target != self.data_id else ""
         has_log = self.log.last_index > 0
+        newest = self.newest_group
+        is_news = request.group is None or newest.is_newer_than(request.group)
+        group = newest if is_news else None
         self.send(
-            VoteReply(self.data_id, request.source, term, granted, request.pre, lost, has_log)
+            VoteReply(
+                self.data_id, request.source, term, granted, request.pre, lost, has_log, group
+            )
         )
 
     def on_vote_reply(self, reply: VoteReply, now: float) -> None:
@@ -413,6 +455,7 @@
 
         A leader takes note of successors that answer after it was elected.
         """
+        self.learn_group(reply.group)
         if not reply.granted:
             if reply.term > self.term:
                 self.become_follower(reply.term, "", now)
--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -467,11 +467,11 @@
     def send_messages(self, messages: list[PeerMessage]) -> None:
         """Queue messages to their peers.
 
-        A message to a data folder outside the known group is sent to every contact; replicas
+        A message to a data folder outside the known groups is sent to every contact; replicas
         other than its target ignore it.
         """
         for message in messages:
-            member = self.node.group.find(message.target)
+            member = self.node.find_member(message.target)
             addresses = [self.address_of(member)] if member else self.contacts()
             for address in addresses:
                 self.link(address).send(message)
@@ -494,7 +494,8 @@
         An empty replica knows the group, and where its leader is, only by replies to its probes.
         """
         heard = self.heard_addresses if self.is_empty() else []
-        found = dict.fromkeys([*self.peers.contacts, *self.addresses(), *heard])
+        electorate = [self.address_of(member) for member in self.node.electorate()]
+        found = dict.fromkeys([*self.peers.contacts, *self.addresses(), *electorate, *heard])
         found.pop(self.peers.address, None)
         return list(found)
 
@@ -664,7 +665,7 @@
         node = self.node
         standing = {
             member.data_id[:8]: f"{member.name} {self.voter_standing(member, replies)}"
-            for member in node.group.members
+            for member in node.electorate()
             if member.voter
         }
         if standing != self.logged_standing:
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -443,7 +443,7 @@
         A member's address stays the same when its machine is replaced, so that a message for a
         lost data folder reaches the replica that has its name now.
         """
-        member = host.node.group.find(message.target)
+        member = host.node.find_member(message.target)
         if member is not None:
             return [member.address]
         return [name for name in self.hosts if name != host.name]
--- a/tests/test_recovery_votes.py
+++ b/tests/test_recovery_votes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from attrs import evolve
 
 from apricotvale.consensus.messages import (
     Entry,
@@ -10,6 +11,7 @@
     Group,
     GroupMember,
     HardState,
+    KnownGroup,
     Snapshot,
     VoteReply,
     VoteRequest,
@@ -34,6 +36,11 @@
     return Stored(hard_state or HardState(), None, [])
 
 
+def group_without_candidate():
+    """Return a later group, in which replica d has taken the place of c."""
+    return KnownGroup(TERM, LAST + 1, Group(tuple(GroupMember(name, name, name) for name in "abd")))
+
+
 def node_of(name, data_id, disk):
     return make_node(name, data_id, disk, GroupPolicy())
 
@@ -60,8 +67,8 @@
     return node, requests[0].term
 
 
-def reply(node, source, lost, term, pre):
-    node.receive(VoteReply(source, "c", term, True, pre, lost, False), 1.0)
+def reply(node, source, lost, term, pre, group=None):
+    node.receive(VoteReply(source, "c", term, True, pre, lost, False, group), 1.0)
 
 
 def test_an_empty_successor_writes_its_vote_before_it_answers():
@@ -142,3 +149,40 @@
     node.take_ready(1.0)
     node.synced(node.log.last_index, node.log.last_term)
     assert node.commit_index == 1
+
+
+def test_an_empty_successor_names_a_group_to_a_replaced_voter_after_a_restart():
+    """The lost folder and the one that named the group were the last to know the new member."""
+    newer = group_without_candidate()
+    node = node_of("a", "a-2", empty())
+    _, records = answer(node, evolve(request("b", "a", TERM + 1, LAST + 1, True), group=newer))
+    assert records[-1].named_group == newer
+    node = node_of("a", "a-2", empty(records[-1]))
+    older = KnownGroup(1, 1, GROUP)
+    vote, _ = answer(node, evolve(request("c", "a", TERM + 1, pre=True), group=older))
+    assert (vote.granted, vote.group) == (True, newer)
+    vote, _ = answer(node, evolve(request("c", "a", TERM + 2), group=newer))
+    assert (vote.granted, vote.group) == (True, None)
+    assert node.hard_state.named_group == newer
+
+
+@pytest.mark.parametrize("pre", [True, False])
+def test_a_candidate_needs_an_answer_from_each_member_of_a_newer_group(pre):
+    node, term = candidate()
+    if not pre:
+        for name in "ab":
+            reply(node, f"{name}-2", name, term, True)
+        term = RECOVERY_TERM_STEP
+    reply(node, "a-2", "a", term, pre, group_without_candidate())
+    reply(node, "b-2", "b", term, pre)
+    assert node.role is (Role.FOLLOWER if pre else Role.CANDIDATE)
+    node.take_ready(1.0)
+    node.tick(9.0)
+    requests = node.take_ready(9.0).messages_after_sync
+    assert {message.target for message in requests} == {"a", "b", "d"}
+    assert all(message.group == group_without_candidate() for message in requests)
+    for name in "ab":
+        reply(node, f"{name}-2", name, requests[0].term, True)
+    assert node.pre_voting
+    reply(node, "d", "", requests[0].term, True)
+    assert node.role is Role.CANDIDATE and node.recovering
