Say what a leaving desk was sent when it has answered no request

tests/test_leaving.py::test_another_entry_stops_within_half_a_second fails with 'the desk answered no request' in about one of several whole runs, and its output cannot tell refusals of the entry, requests that all went to the other desk, and a second copy that answered first. Not traced; the check is the same.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -117,11 +117,17 @@
 async def leave_by_answer(site, desk):
     """Send requests until the desk has answered one that says that it leaves."""
     desk.leaving = True
+    statuses = []
     for number in range(50):
-        _, headers, _ = await site.request(f"/fees/{number}", f"l-{number}")
+        status, headers, _ = await site.request(f"/fees/{number}", f"l-{number}")
         if headers.get("Server-Leaving") == "1":
             return
-    raise AssertionError("the desk answered no request")
+        statuses.append(status)
+    requests = {each.upstream_id: len(each.requests) for each in site.desks}
+    standings = {
+        each.upstream_id: standing(site, site.entry, each.upstream_id) for each in site.desks
+    }
+    raise AssertionError(f"the desk answered no request: {statuses}, {requests}, {standings}")
 
 
 async def test_an_answer_that_says_leaving_stops_new_requests_at_once(site):
