Ask for a trial after the crash is recorded, and drop older answers

Cause: a process that finds a crash reports it, and the neighbour's copy in flight asks for a trial at the same time. Control answers that the request is not suspected, as the report is not committed yet. If the report's reply comes first, this older answer makes the process forget what control has just recorded; the neighbour's own answer then clears nothing.

--- a/src/apricotvale/daemons/crash_guard.py
+++ b/src/apricotvale/daemons/crash_guard.py
@@ -259,9 +259,16 @@
     async def begin_trial(
         self, supervision: Supervision, candidates: list[str], has_copy: bool
     ) -> None:
-        """Ask control for a trial until it is granted, or refused for good."""
+        """Ask control for a trial until it is granted, or refused for good.
+
+        Control knows nothing of a crash that is not recorded yet, so the call waits for a report
+        that is under way.
+        """
         call = supervision.call
+        async with self.reporting_lock:
+            pass
         now = clock.now()
+        asked_about = self.known.find(call.identity, now)
         if not self.has_control():
             await self.begin_local_trial(supervision, candidates)
             return
@@ -287,6 +294,9 @@
                     crashes=len(reply.notice.suspect.crashes),
                 )
                 supervision.settle(TrialState.DENIED)
+            case calls.NotSuspected() if self.known.find(call.identity, now) != asked_about:
+                # A crash was found or recorded after control had answered.
+                supervision.settle(TrialState.DENIED)
             case calls.NotSuspected():
                 self.known.forget(call.identity)
                 supervision.settle(TrialState.EXEMPT)
