Send smaller batches to a control replica at which larger ones time out

Cause (in the test): after a failed batch the leader sends all that the replica lacks again, in a batch as large as before, up to 4 MiB. A replica that takes less than 4 MiB/s never catches up, and each try costs the leader its encoding.

Change: after a timeout the next batch has a quarter of the bytes, down to one message; full batches that arrive in a quarter of the time limit allow larger ones again.

tests/test_rpc.py::test_a_peer_that_is_behind_and_slow_gets_all_entries failed before.

--- a/src/apricotvale/daemons/peers.py
+++ b/src/apricotvale/daemons/peers.py
@@ -12,7 +12,7 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
-from apricotvale import events
+from apricotvale import clock, events
 from apricotvale.codec import encode
 from apricotvale.consensus.calls import Delivered, Interface
 from apricotvale.consensus.messages import AppendRequest, PeerBatch, PeerMessage
@@ -24,6 +24,9 @@
 PEER_TIMEOUT_S = 1.0
 PEER_QUEUE_MESSAGES = 256
 MAX_BATCH_BYTES = 4 * 1024 * 1024
+MIN_BATCH_BYTES = 64 * 1024
+# A batch that arrives within this share of `PEER_TIMEOUT_S` may be followed by a larger one.
+QUICK_BATCH_SHARE = 0.25
 
 
 @define
@@ -122,6 +125,9 @@
         self.reachable = True
         self.takes_streams = True
         self.queue: deque[PeerMessage] = deque(maxlen=PEER_QUEUE_MESSAGES)
+        # Bytes of the entries in the last batch, and of those in the next one at most.
+        self.batch_bytes = 0
+        self.max_batch_bytes = MAX_BATCH_BYTES
 
     def connect(self) -> PeerClient:
         """Return a client for a new connection, which wakes this link when it ends."""
@@ -133,17 +139,19 @@
         self.wake.set()
 
     def take_batch(self) -> PeerBatch:
-        """Remove the next messages from the queue, up to `MAX_BATCH_BYTES` of entries.
+        """Remove the next messages from the queue, up to `max_batch_bytes` of entries.
 
         Load pattern: a peer that was cut off is sent the entries of several seconds at once. One
-        batch of all of them would not arrive within `PEER_TIMEOUT_S` over a slow network link.
+        batch of all of them would not arrive within `PEER_TIMEOUT_S` over a slow network link, or
+        at a peer or from a leader with little processor time.
         """
         batch: list[PeerMessage] = []
-        left = MAX_BATCH_BYTES
+        left = self.max_batch_bytes
         while self.queue and (not batch or left >= payload_bytes(self.queue[0])):
             message = self.queue.popleft()
             left -= payload_bytes(message)
             batch.append(message)
+        self.batch_bytes = sum(map(payload_bytes, batch))
         return PeerBatch(batch)
 
     async def run(self) -> None:
@@ -162,6 +170,9 @@
                 # A connection can stop responding without a reset; only a new one shows whether
                 # the peer answers. Messages queued in the meantime are stale.
                 self.set_reachable(False, repr(error))
+                if isinstance(error, TimeoutError) and self.batch_bytes:
+                    tried_bytes = min(self.max_batch_bytes, self.batch_bytes)
+                    self.max_batch_bytes = max(MIN_BATCH_BYTES, tried_bytes // 4)
                 self.queue.clear()
                 self.client.close()
                 self.client = self.connect()
@@ -186,13 +197,24 @@
         batch = await self.next_batch()
         async with self.client.open_stream() as stream:
             while True:
+                sent_at = clock.now()
                 async with asyncio.timeout(PEER_TIMEOUT_S):
                     await stream.send_message(batch)
                     if await stream.recv_message() is None:
                         raise ConnectionResetError(f"{self.address} ended the stream")
                 self.set_reachable(True, "")
+                self.adjust_batch_size(clock.now() - sent_at)
                 batch = await self.next_batch()
 
+    def adjust_batch_size(self, took_s: float) -> None:
+        """Allow larger batches again once a full one has arrived quickly.
+
+        :param took_s: time until the peer had the last batch, in seconds.
+        """
+        is_full = 2 * self.batch_bytes >= self.max_batch_bytes
+        if is_full and took_s < QUICK_BATCH_SHARE * PEER_TIMEOUT_S:
+            self.max_batch_bytes = min(MAX_BATCH_BYTES, 2 * self.max_batch_bytes)
+
     async def send_as_calls(self) -> NoReturn:
         """Send each batch as a call, to a peer of a build without streams."""
         while True:
@@ -207,4 +229,4 @@
         if reachable != self.reachable:
             self.reachable = reachable
             event = events.PEER_FOUND if reachable else events.PEER_LOST
-            events.emit(event, address=self.address, error=error)
+            events.emit(event, address=self.address, error=error, batch_bytes=self.batch_bytes)
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -19,7 +19,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from prometheus_client import REGISTRY
 
-from apricotvale.consensus.calls import Interface, Redirect
+from apricotvale.consensus.calls import Delivered, Interface, Redirect
 from apricotvale.consensus.messages import AppendRequest, Entry, EntryKind, JoinRequest, PeerBatch
 from apricotvale.control import calls
 from apricotvale.daemons import peers, rpc, rpc_server
@@ -34,6 +34,7 @@
 READY_TIMEOUT_S = 10.0
 BROKEN_CASES = 100
 PAYLOAD = b"x" * 512 * 1024
+SLOW_BYTES_PER_S = 8 * 1024 * 1024
 
 
 @frozen
@@ -222,6 +223,49 @@
     link.client.close()
 
 
+class SlowControlService(ControlService):
+    """The service of a replica that takes `SLOW_BYTES_PER_S` of entries."""
+
+    async def peer_stream(self, stream):
+        with suppress(StreamTerminatedError):
+            async for batch in stream:
+                await asyncio.sleep(sum(map(payload_bytes, batch.messages)) / SLOW_BYTES_PER_S)
+                self.on_peer(batch)
+                await stream.send_message(Delivered())
+
+
+async def test_a_peer_that_is_behind_and_slow_gets_all_entries(monkeypatch):
+    """Guards against a replica that never catches up, as each batch for it is as large again."""
+    monkeypatch.setattr(peers, "PEER_TIMEOUT_S", 0.4)
+    received = []
+    server = make_server(SlowControlService(None, lambda b: received.extend(b.messages), ECHO))
+    address = free_address()
+    await server.start("127.0.0.1", int(address.rpartition(":")[2]))
+    link = PeerLink(address, ECHO, lambda address: None)
+    sender = asyncio.create_task(link.run())
+    entries = [
+        AppendRequest(
+            "a", "b", 1, n, 1, n, n, "a", [Entry(n + 1, 1, 0, EntryKind.COMMAND, PAYLOAD)]
+        )
+        for n in range(16)
+    ]
+    try:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while len(received) < len(entries):
+                if not link.queue:
+                    # The leader sends again what the peer lacks once a batch was lost.
+                    for message in entries[len(received) :]:
+                        link.send(message)
+                client = link.client
+                while link.queue or (link.client is client and len(received) < len(entries)):
+                    await asyncio.sleep(0.01)
+    finally:
+        sender.cancel()
+        link.client.close()
+        server.close()
+        await server.wait_closed()
+
+
 class FormerControlService(ControlService):
     """The service of a build that receives each batch of peer messages as a call."""
 
