--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -53,6 +53,10 @@
 # A snapshot is saved once this much has been applied since the last one.
 SNAPSHOT_AFTER_BYTES = 4 * 1024 * 1024
 SNAPSHOT_AFTER_ENTRIES = 10_000
+# Bytes of a snapshot's parts that may wait in memory until they are written.
+MAX_UNWRITTEN_BYTES = 16 * 1024 * 1024
+# Time for which parts are encoded before the next events are processed, in seconds.
+ENCODING_SLICE_S = 0.05
 
 
 @frozen
@@ -526,25 +530,28 @@
     async def save_snapshot(self) -> None:
         """Save a snapshot of the state and compact the log, unless the leader sends a newer one.
 
-        Load pattern: a slow disk, and a state of many parts. Events are processed meanwhile, as
-        during a write.
+        Load pattern: a slow disk or little processor time, and a state of many parts. Entries are
+        applied while the parts are written, as their content is kept in memory until then.
         """
         node = self.node
         index = node.applied_index
         entry = node.log.slice(index, index)[0]
         group = [group for at, group in node.groups if at <= index][-1]
-        node.holds_committed = True
+        node.holds_committed, held_at = True, clock.now()
         try:
-            saved = await self.save_parts()
+            encoded = await self.encode_parts()
+            root = self.state.dump()
         finally:
             node.holds_committed = False
-        if saved is None:
+        held_s = clock.now() - held_at
+        if encoded is None:
+            return
+        parts, unwritten, written_bytes = encoded
+        self.applied_bytes = self.applied_entries = 0
+        if not await self.write_parts(unwritten):
             return
-        parts, written_bytes = saved
-        root = self.state.dump()
         snapshot = Snapshot(index, entry.term, entry.at_ms, group, root, parts)
         entries = list(node.compact(snapshot))
-        self.applied_bytes = self.applied_entries = 0
         self.replaces_parts = True
         try:
             await self.run_beside_events(
@@ -557,27 +564,53 @@
             index=index,
             bytes=snapshot.size,
             parts=len(parts),
-            written_bytes=written_bytes + len(root),
+            written_bytes=written_bytes + size_of(unwritten) + len(root),
+            held_ms=round(held_s * 1000),
         )
 
-    async def save_parts(self) -> tuple[tuple[Part, ...], int] | None:
-        """Write the parts of the state; return them and the number of bytes written.
+    async def encode_parts(self) -> tuple[tuple[Part, ...], list[tuple[Part, bytes]], int] | None:
+        """Return the parts of the state, those to write with their content, and bytes written.
 
         No entries are applied meanwhile, so the state stays the same while its parts are encoded
-        and written one by one. Records that are due are written after each part. Return None once
-        a snapshot of the leader has arrived.
+        one by one; other events are processed each `ENCODING_SLICE_S`. Parts are written here only
+        when more than `MAX_UNWRITTEN_BYTES` of them wait. Return None once a snapshot of the leader
+        has arrived.
         """
-        parts = []
+        pause_at = clock.now() + ENCODING_SLICE_S
+        parts: list[Part] = []
+        unwritten: list[tuple[Part, bytes]] = []
         written_bytes = 0
         for part, content in self.state.dump_parts(self.storage.has_part):
             parts.append(part)
             if content is None:
                 continue
-            written_bytes += part.size
-            await self.run_beside_events(partial(self.storage.save_part, part, content))
-            now = self.handle_events()
+            unwritten.append((part, content))
+            if size_of(unwritten) > MAX_UNWRITTEN_BYTES:
+                if not await self.write_parts(unwritten):
+                    return None
+                written_bytes += size_of(unwritten)
+                unwritten = []
+            if clock.now() < pause_at:
+                continue
+            await asyncio.sleep(0)
+            pause_at = clock.now() + ENCODING_SLICE_S
+            ready = self.node.take_ready(self.handle_events(), disk_is_busy=True)
+            self.send_messages(ready.messages)
+            self.finish_committed(ready)
+            self.log_changes()
             if self.node.ready.snapshot is not None:
                 return None
+        return tuple(parts), unwritten, written_bytes
+
+    async def write_parts(self, unwritten: list[tuple[Part, bytes]]) -> bool:
+        """Write parts, and before each the records that are due.
+
+        Return False once a snapshot of the leader has arrived.
+        """
+        for part, content in unwritten:
+            now = self.handle_events()
+            if self.node.ready.snapshot is not None:
+                return False
             ready = self.node.take_ready(now)
             self.send_messages(ready.messages)
             self.finish_committed(ready)
@@ -585,8 +618,9 @@
                 await self.write_records(ready.records)
             self.send_messages(ready.messages_after_sync)
             if self.node.ready.snapshot is not None:
-                return None
-        return tuple(parts), written_bytes
+                return False
+            await self.run_beside_events(partial(self.storage.save_part, part, content))
+        return self.node.ready.snapshot is None
 
     # Parts of snapshots from the leader
 
@@ -819,6 +853,11 @@
     return int(time.time() * 1000)
 
 
+def size_of(parts: list[tuple[Part, bytes]]) -> int:
+    """Return the number of bytes of some parts."""
+    return sum(part.size for part, _ in parts)
+
+
 def resolve(future: asyncio.Future[Any] | None, value: Any) -> None:
     """Set a future's result unless it is missing, done or cancelled by its caller."""
     if future is not None and not future.done():
