--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -12,7 +12,7 @@
 from typing import Any, Protocol, TypeVar
 
 import attrs
-from attrs import define, frozen
+from attrs import define, field, frozen
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from apricotvale import clock, events, metrics
@@ -93,6 +93,35 @@
     leader_id: str
 
 
+@define
+class EncodedParts:
+    """The parts of a state, for a snapshot.
+
+    :param parts: all of them, in their order.
+    :param unwritten: those that are not on the disk yet, with their content.
+    :param unwritten_bytes: size of these contents.
+    :param new_bytes: size of all parts that were not on the disk before.
+    """
+
+    parts: list[Part] = field(factory=list)
+    unwritten: list[tuple[Part, bytes]] = field(factory=list)
+    unwritten_bytes: int = 0
+    new_bytes: int = 0
+
+    def add(self, part: Part, content: bytes | None) -> None:
+        """Add the next part; its content is None if it is on the disk."""
+        self.parts.append(part)
+        if content is not None:
+            self.unwritten.append((part, content))
+            self.unwritten_bytes += part.size
+            self.new_bytes += part.size
+
+    def forget_content(self) -> None:
+        """Drop the contents, which are on the disk now."""
+        self.unwritten = []
+        self.unwritten_bytes = 0
+
+
 class StateMachine(Protocol):
     """The state that committed entries are applied to."""
 
@@ -546,11 +575,10 @@
         held_s = clock.now() - held_at
         if encoded is None:
             return
-        parts, unwritten, written_bytes = encoded
         self.applied_bytes = self.applied_entries = 0
-        if not await self.write_parts(unwritten):
+        if not await self.write_parts(encoded.unwritten):
             return
-        snapshot = Snapshot(index, entry.term, entry.at_ms, group, root, parts)
+        snapshot = Snapshot(index, entry.term, entry.at_ms, group, root, tuple(encoded.parts))
         entries = list(node.compact(snapshot))
         self.replaces_parts = True
         try:
@@ -563,13 +591,13 @@
             events.SNAPSHOT_SAVED,
             index=index,
             bytes=snapshot.size,
-            parts=len(parts),
-            written_bytes=written_bytes + size_of(unwritten) + len(root),
+            parts=len(encoded.parts),
+            written_bytes=encoded.new_bytes + len(root),
             held_ms=round(held_s * 1000),
         )
 
-    async def encode_parts(self) -> tuple[tuple[Part, ...], list[tuple[Part, bytes]], int] | None:
-        """Return the parts of the state, those to write with their content, and bytes written.
+    async def encode_parts(self) -> EncodedParts | None:
+        """Encode the parts of the state that are not stored yet.
 
         No entries are applied meanwhile, so the state stays the same while its parts are encoded
         one by one; other events are processed each `ENCODING_SLICE_S`. Parts are written here only
@@ -577,19 +605,13 @@
         has arrived.
         """
         pause_at = clock.now() + ENCODING_SLICE_S
-        parts: list[Part] = []
-        unwritten: list[tuple[Part, bytes]] = []
-        written_bytes = 0
+        encoded = EncodedParts()
         for part, content in self.state.dump_parts(self.storage.has_part):
-            parts.append(part)
-            if content is None:
-                continue
-            unwritten.append((part, content))
-            if size_of(unwritten) > MAX_UNWRITTEN_BYTES:
-                if not await self.write_parts(unwritten):
+            encoded.add(part, content)
+            if encoded.unwritten_bytes > MAX_UNWRITTEN_BYTES:
+                if not await self.write_parts(encoded.unwritten):
                     return None
-                written_bytes += size_of(unwritten)
-                unwritten = []
+                encoded.forget_content()
             if clock.now() < pause_at:
                 continue
             await asyncio.sleep(0)
@@ -600,7 +622,7 @@
             self.log_changes()
             if self.node.ready.snapshot is not None:
                 return None
-        return tuple(parts), unwritten, written_bytes
+        return encoded
 
     async def write_parts(self, unwritten: list[tuple[Part, bytes]]) -> bool:
         """Write parts, and before each the records that are due.
@@ -853,11 +875,6 @@
     return int(time.time() * 1000)
 
 
-def size_of(parts: list[tuple[Part, bytes]]) -> int:
-    """Return the number of bytes of some parts."""
-    return sum(part.size for part, _ in parts)
-
-
 def resolve(future: asyncio.Future[Any] | None, value: Any) -> None:
     """Set a future's result unless it is missing, done or cancelled by its caller."""
     if future is not None and not future.done():
