Send no items from a leader that was replaced while it stood still

An item reaches an upstream 4,049 ms after its job's end was acknowledged.

Cause: the leader, with 0.3 cores, does nothing from 27.8 s to 31.93 s; another one leads from 28.7 s and acknowledges the end. When the former one goes on, the tasks that were begun before it stood still run first, and send their items; that its quorum is gone it finds out a moment later (role changed at 31.928 s, the item arrived at 31.928 s).

Change: an item is sent only if the replica leads by what it knows then, which advances the node to the current time first: without answers of a majority in the last election timeout it steps down. Its runs are left to the next leader. Not covered: a leader that stands still between this check and the write to the socket, and reward calls, which were not looked at.

tests/test_leader_loss.py:: test_a_leader_that_stood_still_sends_no_items_once_it_is_replaced failed before (two runs of the item, 3 of 3 tries) and passes (5 of 5).

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -132,7 +132,13 @@
             self.guard,
         )
         self.runner = JobRunner(
-            self.state, client, forwarder, self.permits, self.commit_internal, version_field
+            self.state,
+            client,
+            forwarder,
+            self.permits,
+            self.commit_internal,
+            version_field,
+            lambda: self.replica.leads,
         )
         self.load_scheduler = LoadScheduler(
             self.state,
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -72,6 +72,7 @@
     :param permits: permits of upstreams with a limit.
     :param commit: commits a command; returns False if this replica is no longer the leader.
     :param version_field: name of the event field that announces a new weight version.
+    :param leads: returns whether this replica leads, by what it knows at the time of the call.
 
     `run_pace` is the time of complete runs for each expected token of their output.
     `runs` holds the items that run now and `waiting` those whose run was interrupted, both by job
@@ -87,8 +88,10 @@
         permits: LeaderPermits,
         commit: Callable[[c.Command], Awaitable[bool]],
         version_field: str,
+        leads: Callable[[], bool] = lambda: True,
     ) -> None:
         self.state = state
+        self.leads = leads
         self.client = client
         self.forwarder = forwarder
         self.permits = permits
@@ -514,7 +517,8 @@
         why = ""
         sent_at = clock.now()
         try:
-            if self.forwarder.is_leaving(engine):
+            # A leader without processor time may have been replaced since it chose the engine.
+            if self.forwarder.is_leaving(engine) or not self.leads():
                 return None
             self.forwarder.count_limited(engine, "run")
             async with self.client.run(engine, request) as stream:
--- a/tests/test_leader_loss.py
+++ b/tests/test_leader_loss.py
@@ -13,7 +13,9 @@
 from apricotvale.fleet import commands as c
 from apricotvale.fleet.state import FleetState
 from scripts.ports import free_port
+from tests.platform_site import item, job
 from tests.replicas import Injector, Replicas
+from tests.test_limits import find_leader
 
 
 @pytest.fixture(params=range(4))
@@ -94,3 +96,22 @@
     finally:
         sender.cancel()
         link.client.close()
+
+
+async def test_a_leader_that_stood_still_sends_no_items_once_it_is_replaced(site, monkeypatch):
+    """Guards against an item that runs twice, or after its job was ended at the next leader."""
+    leader = await find_leader(site)
+    select_engine = leader.runner.select_engine
+
+    def select_engine_and_stand_still(*args):
+        monkeypatch.undo()
+        engine = select_engine(*args)
+        for peer in leader.replica.node.progress.values():
+            peer.heard_at = float("-inf")
+        return engine
+
+    monkeypatch.setattr(leader.runner, "select_engine", select_engine_and_stand_still)
+    assert await site.submit("j-1", job(item("i-1"))) == 202
+    assert (await site.all_results("j-1", 1))["i-1"]["state"] == "completed"
+    runs = [request.headers.get("request-id") for e in site.engines for request in e.requests]
+    assert runs.count("i-1") == 1
