--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -11,7 +11,7 @@
 import socket
 import time
 from collections import Counter
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 from attrs import frozen
@@ -223,6 +223,22 @@
     link.client.close()
 
 
+@asynccontextmanager
+async def sending_link(server):
+    """Run a server, and a link that sends messages to it."""
+    address = free_address()
+    await server.start("127.0.0.1", int(address.rpartition(":")[2]))
+    link = PeerLink(address, ECHO, lambda address: None)
+    sender = asyncio.create_task(link.run())
+    try:
+        yield link
+    finally:
+        sender.cancel()
+        link.client.close()
+        server.close()
+        await server.wait_closed()
+
+
 class SlowControlService(ControlService):
     """The service of a replica that takes `SLOW_BYTES_PER_S` of entries."""
 
@@ -237,33 +253,28 @@
 async def test_a_peer_that_is_behind_and_slow_gets_all_entries(monkeypatch):
     """Guards against a replica that never catches up, as each batch for it is as large again."""
     monkeypatch.setattr(peers, "PEER_TIMEOUT_S", 0.4)
-    received = []
-    server = make_server(SlowControlService(None, lambda b: received.extend(b.messages), ECHO))
-    address = free_address()
-    await server.start("127.0.0.1", int(address.rpartition(":")[2]))
-    link = PeerLink(address, ECHO, lambda address: None)
-    sender = asyncio.create_task(link.run())
-    entries = [
-        AppendRequest(
+    lacking = {
+        n: AppendRequest(
             "a", "b", 1, n, 1, n, n, "a", [Entry(n + 1, 1, 0, EntryKind.COMMAND, PAYLOAD)]
         )
         for n in range(16)
-    ]
-    try:
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            while len(received) < len(entries):
-                if not link.queue:
-                    # The leader sends again what the peer lacks once a batch was lost.
-                    for message in entries[len(received) :]:
-                        link.send(message)
-                client = link.client
-                while link.queue or (link.client is client and len(received) < len(entries)):
-                    await asyncio.sleep(0.01)
-    finally:
-        sender.cancel()
-        link.client.close()
-        server.close()
-        await server.wait_closed()
+    }
+
+    def receive(batch):
+        for message in batch.messages:
+            lacking.pop(message.sequence, None)
+
+    async with (
+        asyncio.timeout(READY_TIMEOUT_S),
+        sending_link(make_server(SlowControlService(None, receive, ECHO))) as link,
+    ):
+        while lacking:
+            # The leader sends again what the peer lacks once a batch was lost.
+            for message in list(lacking.values()):
+                link.send(message)
+            client = link.client
+            while lacking and link.client is client:
+                await asyncio.sleep(0.01)
 
 
 class FormerControlService(ControlService):
@@ -286,12 +297,8 @@
         return protocols[-1]
 
     server._protocol_factory = record_protocol
-    address = free_address()
-    await server.start("127.0.0.1", int(address.rpartition(":")[2]))
-    link = PeerLink(address, ECHO, lambda address: None)
-    sender = asyncio.create_task(link.run())
     sent = [AppendRequest("a", "b", 1, n, 1, n, n, "a") for n in range(200)]
-    try:
+    async with sending_link(server) as link:
         async with asyncio.timeout(READY_TIMEOUT_S):
             # The first batch is lost at a peer without streams, as after any failure.
             while not received:
@@ -306,11 +313,6 @@
         async with asyncio.timeout(READY_TIMEOUT_S):
             while len(received) < len(sent):
                 await asyncio.sleep(0.01)
-    finally:
-        sender.cancel()
-        link.client.close()
-        server.close()
-        await server.wait_closed()
     assert received == sent and link.reachable
     assert len(protocols) == 1
 
