--- a/src/apricotvale/daemons/replica.py
+++ b/src/apricotvale/daemons/replica.py
@@ -54,7 +54,7 @@
 SNAPSHOT_AFTER_BYTES = 4 * 1024 * 1024
 SNAPSHOT_AFTER_ENTRIES = 10_000
 # Bytes of a snapshot's parts that may wait in memory until they are written.
-MAX_UNWRITTEN_BYTES = 16 * 1024 * 1024
+MAX_UNWRITTEN_BYTES = 8 * 1024 * 1024
 # Time for which parts are encoded before the next events are processed, in seconds.
 ENCODING_SLICE_S = 0.05
 
--- a/tests/test_snapshot_parts.py
+++ b/tests/test_snapshot_parts.py
@@ -13,6 +13,7 @@
 from apricotvale.consensus.log import MAX_COVERED_BYTES, Log
 from apricotvale.consensus.messages import Entry, EntryKind, Group, HardState, Part, Snapshot
 from apricotvale.consensus.storage import PART_PREFIX, Storage
+from apricotvale.daemons.replica import MAX_UNWRITTEN_BYTES, EncodedParts
 from apricotvale.exceptions import DataFolderError
 from apricotvale.fleet import commands as c
 from apricotvale.fleet.state import FleetImage, FleetState
@@ -43,15 +44,21 @@
 
 def save(state, storage):
     """Save a snapshot as the daemon does; return the bytes of the parts written."""
-    parts, written_bytes = [], 0
+    encoded = EncodedParts()
     for part, content in state.dump_parts(storage.has_part):
-        parts.append(part)
-        if content is not None:
-            storage.save_part(part, content)
-            written_bytes += part.size
-    snapshot = Snapshot(1, 1, 0, Group(), state.dump(), tuple(parts))
+        encoded.add(part, content)
+        if encoded.unwritten_bytes > MAX_UNWRITTEN_BYTES:
+            write_parts(encoded, storage)
+            encoded.forget_content()
+    write_parts(encoded, storage)
+    snapshot = Snapshot(1, 1, 0, Group(), state.dump(), tuple(encoded.parts))
     storage.save_snapshot(snapshot, HardState(1), [])
-    return written_bytes
+    return encoded.new_bytes
+
+
+def write_parts(encoded, storage):
+    for part, content in encoded.unwritten:
+        storage.save_part(part, content)
 
 
 @pytest.fixture
