Bound the head of a request, and parse one request at a time

Callers saw entries and control end for want of memory, at every listener, while clients sent a header line, a request target, a field name, header lines or bytes that are no request without an end, or went on sending after a refusal, after an answer that closes or after an upgrade was asked for.

Cause: the HTTP library bounds a line, not a head, and takes up to 32 requests ahead. After a refusal, the traceback of the parser's error refers to itself and to the bytes that were read, 256 KiB at a time, so that each refused connection kept them until a full garbage collection.

Ruled out: settings of the library alone. None of them bounds a head or the requests ahead (`max_line_size`, `max_field_size` and `max_headers` count apart; the number of requests ahead is a constant of a module). Another server library would have to replace the application interface of four daemons.

Change: all listeners share `HttpServer` (now a module of its own), whose connections read into one buffer and pass on a head, a body and nothing more until the answer is sent. A head over its bound gets 431; chunk framing and trailers that outgrow a body close the connection; what follows a refusal is not read. The tracebacks of malformed requests are dropped where they are logged. A malformed body gets 400 at once, also if it comes after its head. One attribute of the library's connection is read, not changed: whether it has queued an answer, as nothing else tells of a rejected body.

A try that fed the rest of a segment along with the head was given up: a client that sends requests ahead would hold 32 of them again.

--- a/src/apricotvale/cli/standins.py
+++ b/src/apricotvale/cli/standins.py
@@ -7,7 +7,8 @@
 import click
 from aiohttp import web
 
-from apricotvale.daemons.runtime import HttpServer, run
+from apricotvale.daemons.http_server import HttpServer
+from apricotvale.daemons.runtime import run
 from apricotvale.standins.engine import Engine, EngineSpec, make_app
 from apricotvale.standins.service import (
     PlainService,
--- a/src/apricotvale/daemons/control.py
+++ b/src/apricotvale/daemons/control.py
@@ -20,11 +20,11 @@
 from apricotvale.control.configuration import ConfigApplied, ConfigConflict
 from apricotvale.control.state import ControlState
 from apricotvale.daemons.crash_control import CrashControl
+from apricotvale.daemons.http_server import HttpServer
 from apricotvale.daemons.peers import fixed_peers
 from apricotvale.daemons.replica import LostLeadership, Replica
 from apricotvale.daemons.rpc_server import ControlService, make_server
 from apricotvale.daemons.runtime import (
-    HttpServer,
     TaskGroup,
     health_routes,
     wait_event,
--- a/src/apricotvale/daemons/entry.py
+++ b/src/apricotvale/daemons/entry.py
@@ -21,9 +21,9 @@
 from apricotvale.daemons.claiming import ClaimRunner
 from apricotvale.daemons.crash_guard import CrashGuard
 from apricotvale.daemons.dispatch import Dispatcher, MemberAnswer
+from apricotvale.daemons.http_server import HttpServer
 from apricotvale.daemons.link import ControlClient, ControlLink
 from apricotvale.daemons.runtime import (
-    HttpServer,
     TaskGroup,
     health_routes,
     wait_event,
--- /dev/null
+++ b/src/apricotvale/daemons/http_connections.py
@@ -0,0 +1,272 @@
+"""HTTP connections whose peers are bounded in what they send."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, cast
+
+from aiohttp import web
+from attrs import define, field
+
+from apricotvale import events, metrics
+from apricotvale.requests.peer_bounds import (
+    CHUNK_OVERHEAD,
+    MAX_CHUNK_EXTRA,
+    ConnectionLimits,
+    Phase,
+)
+
+# Bytes that are read at a time, from all connections into the same buffer. Less is read where the
+# bytes may have to be held.
+READ_BYTES = 64 * 1024
+SHORT_READ_BYTES = 16 * 1024
+# Bytes of a next request with which a connection is not read any further.
+AHEAD_BYTES = 4 * 1024
+HEAD_END = b"\r\n\r\n"
+
+HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
+
+
+@define(eq=False)
+class Listener:
+    """The connections of one listening socket.
+
+    :param limits: returns the limits in force.
+    """
+
+    server: web.Server
+    limits: Callable[[], ConnectionLimits]
+    buffer: memoryview = field(factory=lambda: memoryview(bytearray(READ_BYTES)))
+    connections: dict[Any, HttpConnection] = field(factory=dict)
+
+    def __call__(self) -> HttpConnection:
+        """Return the protocol of a new connection."""
+        return HttpConnection(self)
+
+    def __attrs_post_init__(self) -> None:
+        handle = self.server.request_handler
+
+        async def handle_request(request: web.BaseRequest) -> web.StreamResponse:
+            connection = self.connections.get(request.protocol)
+            if connection is not None:
+                connection.on_request(request)
+            return await handle(request)
+
+        self.server.request_handler = handle_request
+
+
+class HttpConnection(asyncio.BufferedProtocol):
+    """Passes the bytes of a connection on to the HTTP server, one request at a time.
+
+    The server gets the head of a request, its body, and nothing more until the answer is sent. What
+    a peer may send in each of these phases is bounded here, before it is parsed.
+    """
+
+    def __init__(self, listener: Listener) -> None:
+        self.listener = listener
+        self.http = listener.server()
+        self.phase = Phase.FIRST_REQUEST
+        self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self.head_bytes = 0
+        # The last bytes of a part of a head, whose end may lie across two parts.
+        self.head_tail = b""
+        # The same of a next head whose beginning the server got with the end of a chunked body.
+        self.next_head_tail = b""
+        # Bytes after the current head or request.
+        self.ahead = b""
+        # The request that the server works on, and whether its answer is sent.
+        self.request: web.BaseRequest | None = None
+        self.is_answered = False
+        # Bytes of the body that are still to come; None if it has no stated length.
+        self.body_left: int | None = 0
+        self.body_bytes = 0
+        self.is_closing = False
+
+    # Events of the transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Pass the connection on to the server."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.listener.connections[self.http] = self
+        self.http.connection_made(transport)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer into which the next bytes are read."""
+        buffer = self.listener.buffer
+        has_length = self.phase is Phase.BODY and self.body_left is not None
+        return buffer if has_length else buffer[:SHORT_READ_BYTES]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process the bytes that were read."""
+        self.receive(bytes(self.listener.buffer[:nbytes]))
+        if len(self.ahead) >= AHEAD_BYTES:
+            self.transport.pause_reading()
+
+    def eof_received(self) -> None:
+        """Close the connection: the server takes the end of a peer's bytes for its end."""
+        self.http.eof_received()
+
+    def pause_writing(self) -> None:
+        """Let the server wait until the peer has read more."""
+        self.http.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Let the server write again."""
+        self.http.resume_writing()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the connection of the server."""
+        self.is_closing = True
+        if self.listener.connections.pop(self.http, None) is not None:
+            self.http.connection_lost(exc)
+
+    # Received bytes
+
+    def receive(self, data: bytes) -> None:
+        """Pass bytes on as far as the current phase allows, and hold the rest."""
+        while data and not self.is_closing:
+            if self.phase in (Phase.BODY, Phase.REFUSED_BODY):
+                data = self.receive_body(data)
+            elif self.phase is Phase.ANSWER:
+                self.ahead += data
+                return
+            else:
+                data = self.receive_head(data)
+
+    def receive_head(self, data: bytes) -> bytes:
+        """Pass on a part of a head; return the bytes after its end."""
+        limits = self.listener.limits()
+        if self.phase is not Phase.HEAD:
+            self.head_bytes = 0
+            self.head_tail, self.next_head_tail = self.next_head_tail, b""
+            self.phase = Phase.HEAD
+        if not self.head_tail:
+            # Empty lines before a request are ignored.
+            part = data.lstrip(b"\r\n")
+            self.head_bytes += len(data) - len(part)
+            data = part
+        end = (self.head_tail + data).find(HEAD_END)
+        size = len(data) if end < 0 else end + len(HEAD_END) - len(self.head_tail)
+        part, rest = data[:size], data[size:]
+        self.head_bytes += len(part)
+        if self.head_bytes > limits.head_bytes:
+            self.refuse(HEAD_TOO_LARGE, f"a head of more than {limits.head_bytes} bytes")
+            return b""
+        self.head_tail = (self.head_tail + part)[1 - len(HEAD_END) :]
+        if part:
+            self.http.data_received(part)
+        if self.has_server_answer():
+            # The server calls `on_request`, or rejects the head and closes the connection.
+            self.phase = Phase.ANSWER
+        return rest
+
+    def has_server_answer(self) -> bool:
+        """Return whether the server has a request to answer, or bytes to reject as malformed."""
+        return bool(self.http._messages)
+
+    def receive_body(self, data: bytes) -> bytes:
+        """Pass on a part of a body; return the bytes after its end."""
+        assert self.request is not None
+        part = data if self.body_left is None else data[: self.body_left]
+        self.http.data_received(part)
+        self.body_bytes += len(part)
+        if self.body_left is not None:
+            self.body_left -= len(part)
+        elif self.request.content.is_eof():
+            self.body_left = 0
+            self.next_head_tail = b"" if part.endswith(HEAD_END) else part[1 - len(HEAD_END) :]
+        elif self.has_server_answer():
+            # The server rejects the body only after the request, which would wait for its rest.
+            self.request.content.set_exception(web.HTTPBadRequest(text="malformed body\n"))
+        else:
+            # Extensions of chunks and trailers are no part of the body.
+            extra = self.body_bytes - self.request.content.total_bytes * CHUNK_OVERHEAD
+            if extra > MAX_CHUNK_EXTRA:
+                self.drop("a chunked body with too many other bytes")
+        if self.body_left == 0:
+            self.phase = Phase.ANSWER
+            if self.is_answered:
+                self.finish_request()
+        return data[len(part) :]
+
+    # Requests
+
+    def on_request(self, request: web.BaseRequest) -> None:
+        """Begin a request whose head the server has parsed."""
+        self.request, self.is_answered = request, False
+        self.body_bytes = 0
+        content = request.content
+        self.body_left = 0 if content.is_eof() else request.content_length
+        if self.body_left:
+            self.body_left -= content.total_bytes
+        if self.body_left == 0:
+            self.phase = Phase.ANSWER
+        else:
+            self.phase = Phase.BODY
+        task = asyncio.current_task()
+        assert task is not None
+        task.add_done_callback(self.on_answered)
+        self.receive_ahead()
+
+    def on_answered(self, task: asyncio.Task[Any]) -> None:
+        """Go on to the next request once an answer is sent and the body is received.
+
+        The server ignores the rest of a body, and closes the connection if that takes long.
+        """
+        self.is_answered = True
+        if self.body_left == 0:
+            self.finish_request()
+        else:
+            self.phase = Phase.REFUSED_BODY
+
+    def finish_request(self) -> None:
+        """Wait for the next request, or begin the one that is here already."""
+        if self.is_closing or self.transport.is_closing():
+            self.begin_closing()
+            return
+        self.request = None
+        self.phase = Phase.NEXT_REQUEST
+        self.receive_ahead()
+
+    def receive_ahead(self) -> None:
+        """Process the bytes that were held."""
+        data, self.ahead = self.ahead, b""
+        self.receive(data)
+        if len(data) >= AHEAD_BYTES > len(self.ahead) and not self.is_closing:
+            self.transport.resume_reading()
+
+    # Ends
+
+    def refuse(self, status: bytes, why: str) -> None:
+        """Refuse a request that the server has not got as a whole, and close the connection."""
+        self.note_closed(why)
+        fields = b"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        self.transport.write(b"HTTP/1.1 " + status + fields)
+        self.transport.close()
+        self.begin_closing()
+
+    def drop(self, why: str) -> None:
+        """Close the connection at once, without an answer, and free what the server holds of it."""
+        self.note_closed(why)
+        self.begin_closing()
+        if self.listener.connections.pop(self.http, None) is not None:
+            self.http.connection_lost(ConnectionAbortedError(why))
+        self.transport.abort()
+
+    def begin_closing(self) -> None:
+        """Ignore what still arrives."""
+        if not self.is_closing:
+            self.is_closing = True
+            self.ahead = b""
+            self.phase = Phase.REFUSED_BODY
+
+    def note_closed(self, why: str) -> None:
+        """Count and log a connection that is closed by force."""
+        metrics.CONNECTIONS_CLOSED.inc()
+        events.emit(
+            events.CONNECTION_CLOSED,
+            why=why,
+            phase=self.phase.value,
+            head_bytes=self.head_bytes,
+        )
--- /dev/null
+++ b/src/apricotvale/daemons/http_server.py
@@ -0,0 +1,93 @@
+"""The HTTP server of the daemons, with bounds on what its clients make a process hold."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
+
+from apricotvale.daemons.http_connections import READ_BYTES, Listener
+from apricotvale.requests.peer_bounds import ConnectionLimits
+
+SHUTDOWN_TIMEOUT_S = 1.0
+# The bounds of the connections apply before this limit of the HTTP library.
+MAX_LINE_BYTES = 1024 * 1024
+IDLE_TIMEOUT_S = 24 * 3600.0
+BACKLOG = 128
+
+
+def remove_request_text(record: logging.LogRecord) -> bool:
+    """Remove the text of a malformed request from a log record, and drop records below a warning.
+
+    The errors of the HTTP parser quote header lines, and these may hold a customer's key. Their
+    tracebacks refer to the bytes received and to themselves, so that these bytes would stay until
+    the next full garbage collection.
+    """
+    error = record.exc_info[1] if record.exc_info else None
+    if isinstance(error, HttpProcessingError):
+        record.msg = f"{record.getMessage()}: {type(error).__name__}, status {error.code}"
+        record.args, record.exc_info = (), None
+        error.__traceback__ = None
+    return record.levelno >= logging.WARNING
+
+
+HTTP_LOGGER = logging.getLogger("apricotvale.http")
+# The server logs some errors of the parser as such records.
+HTTP_LOGGER.setLevel(logging.DEBUG)
+HTTP_LOGGER.addFilter(remove_request_text)
+
+
+class HttpServer:
+    """Serves an aiohttp application on one address, as a context manager.
+
+    :param address: `host:port` to listen on.
+    :param decode_bodies: whether bodies with a content encoding are decoded; must be False for
+        bodies that are forwarded.
+    :param limits: returns the limits on a connection that are in force.
+    """
+
+    def __init__(
+        self,
+        app: web.Application,
+        address: str,
+        decode_bodies: bool = True,
+        limits: Callable[[], ConnectionLimits] = ConnectionLimits,
+    ) -> None:
+        self.address = address
+        self.limits = limits
+        self.runner = web.AppRunner(
+            app,
+            logger=HTTP_LOGGER,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            read_bufsize=READ_BYTES,
+            auto_decompress=decode_bodies,
+        )
+        self.listener: Listener | None = None
+        self.server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> HttpServer:
+        host, _, port = self.address.rpartition(":")
+        await self.runner.setup()
+        assert self.runner.server is not None
+        self.listener = Listener(self.runner.server, self.limits)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.listener, host, int(port), backlog=BACKLOG)
+        return self
+
+    async def stop_accepting(self) -> None:
+        """Close the listening socket; open connections stay open."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.stop_accepting()
+        await self.runner.cleanup()
--- a/src/apricotvale/daemons/runtime.py
+++ b/src/apricotvale/daemons/runtime.py
@@ -3,22 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import signal
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import uvloop
 from aiohttp import web
-from aiohttp.http_exceptions import HttpProcessingError
 
 from apricotvale import events
 
-KEEPALIVE_TIMEOUT_S = 30.0
-# Limit of the HTTP parser. The configured limits are smaller and are checked by the handlers.
-MAX_HEADER_BYTES = 65_536
-SHUTDOWN_TIMEOUT_S = 1.0
-
 
 class TaskGroup:
     """Background tasks that are cancelled with their owner; an error in a task is logged."""
@@ -64,62 +57,6 @@
     events.emit(events.STOPPING, told=stop.is_set())
 
 
-def remove_request_text(record: logging.LogRecord) -> bool:
-    """Remove the text of a malformed request from a log record.
-
-    The errors of the HTTP parser quote header lines, and these may hold a customer's key.
-    """
-    error = record.exc_info[1] if record.exc_info else None
-    if isinstance(error, HttpProcessingError):
-        record.msg = f"{record.getMessage()}: {type(error).__name__}, status {error.code}"
-        record.args, record.exc_info = (), None
-    return True
-
-
-HTTP_LOGGER = logging.getLogger("apricotvale.http")
-HTTP_LOGGER.addFilter(remove_request_text)
-
-
-class HttpServer:
-    """Serves an aiohttp application on one address, as a context manager.
-
-    :param address: `host:port` to listen on.
-    :param decode_bodies: whether bodies with a content encoding are decoded; must be False for
-        bodies that are forwarded.
-    """
-
-    def __init__(self, app: web.Application, address: str, decode_bodies: bool = True) -> None:
-        self.address = address
-        self.runner = web.AppRunner(
-            app,
-            logger=HTTP_LOGGER,
-            access_log=None,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            auto_decompress=decode_bodies,
-        )
-        self.site: web.TCPSite | None = None
-
-    async def __aenter__(self) -> HttpServer:
-        host, _, port = self.address.rpartition(":")
-        await self.runner.setup()
-        self.site = web.TCPSite(self.runner, host, int(port))
-        await self.site.start()
-        return self
-
-    async def stop_accepting(self) -> None:
-        """Close the listening socket; open connections stay open."""
-        if self.site is not None:
-            await self.site.stop()
-            self.site = None
-
-    async def __aexit__(self, *exc_info: object) -> None:
-        await self.runner.cleanup()
-
-
 async def wait_event(event: asyncio.Event, seconds: float) -> bool:
     """Wait for an event with a time-out; return whether it was set.
 
--- a/src/apricotvale/daemons/sidecar.py
+++ b/src/apricotvale/daemons/sidecar.py
@@ -19,11 +19,11 @@
 from apricotvale.control.calls import SyncReply
 from apricotvale.daemons import headers as h
 from apricotvale.daemons.gate import AdmissionGate
+from apricotvale.daemons.http_server import HttpServer
 from apricotvale.daemons.link import ControlLink
 from apricotvale.daemons.orders import OrderRunner
 from apricotvale.daemons.reachability import accepts_connections
 from apricotvale.daemons.runtime import (
-    HttpServer,
     TaskGroup,
     health_routes,
     wait_event,
--- a/src/apricotvale/events.py
+++ b/src/apricotvale/events.py
@@ -266,7 +266,14 @@
     354,
     "caller-cut",
     "WARNING",
-    "A caller that read nothing for some seconds was disconnected, with the bytes left.",
+    "A caller that read nothing for some seconds, or slowly while there was no room, was "
+    "disconnected, with the bytes left.",
+)
+CONNECTION_CLOSED = event(
+    358,
+    "connection-closed",
+    "WARNING",
+    "A connection was closed: its peer exceeded a bound, or others needed its room.",
 )
 
 PROMPT_PARTS_IGNORED = event(
--- a/src/apricotvale/metrics.py
+++ b/src/apricotvale/metrics.py
@@ -103,6 +103,10 @@
 CALLERS_CUT = Counter(
     "apricotvale_callers_cut", "Callers disconnected because they did not read their answer."
 )
+CONNECTIONS_CLOSED = Counter(
+    "apricotvale_connections_closed",
+    "Connections closed because their peer exceeded a bound, or to make room for others.",
+)
 WORK_RATIO = Gauge("apricotvale_work_ratio", "Largest ratio of work due to capacity.")
 GROUPS_POSTPONED = Counter(
     "apricotvale_groups_postponed", "Groups that could not be complete in time."
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -12,12 +12,14 @@
 from apricotvale import clock, events, metrics
 from apricotvale.customers.access import Caller, identify, job_customer, upstream_customer
 from apricotvale.daemons.fleet_entry import FleetEntry
+from apricotvale.daemons.http_server import HttpServer
 from apricotvale.exceptions import BadInputError
 from apricotvale.fleet import calls
 from apricotvale.numerals import parse_number
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run
 from apricotvale.platform import delivery, names, streaming, wire
 from apricotvale.requests.calls import Answer, Call
+from apricotvale.requests.peer_bounds import ConnectionLimits
 from apricotvale.routes import Limits, Route, RouteKind, RouteTable
 
 STATUS_BY_REASON = {
@@ -57,6 +59,17 @@
         app.on_response_prepare.append(self.close_while_stopping)
         return app
 
+    def make_server(self, address: str) -> HttpServer:
+        """Create the server for callers."""
+        return HttpServer(self.make_app(), address, False, self.connection_limits)
+
+    def connection_limits(self) -> ConnectionLimits:
+        """Return the limits on a caller's connection.
+
+        The request line may be as long as all header fields.
+        """
+        return ConnectionLimits(2 * self.entry.limits.max_header_bytes)
+
     def make_readiness_app(self) -> web.Application:
         """Create the application to serve on the readiness address."""
         app = web.Application()
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -11,7 +11,8 @@
 from pathlib import Path
 
 from apricotvale import events, mechanisms, metrics
-from apricotvale.daemons.runtime import HttpServer, install_reload_handler, run
+from apricotvale.daemons.http_server import HttpServer
+from apricotvale.daemons.runtime import install_reload_handler, run
 from apricotvale.exceptions import ApricotvaleError
 from apricotvale.log_writer import configure_bounded
 from apricotvale.platform import names, wire
@@ -37,9 +38,7 @@
         interface = RequestInterface(entry)
         readiness = HttpServer(interface.make_readiness_app(), settings.readiness)
         await stack.enter_async_context(readiness)
-        server = await stack.enter_async_context(
-            HttpServer(interface.make_app(), settings.requests, decode_bodies=False)
-        )
+        server = await stack.enter_async_context(interface.make_server(settings.requests))
         events.emit(events.STARTED, listen=settings.requests)
         metrics.record_start()
         install_reload_handler(lambda: reload(entry.apply_settings))
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -13,7 +13,7 @@
 
 from apricotvale.daemons.fleet_control import FleetControl
 from apricotvale.daemons.fleet_entry import FleetEntry
-from apricotvale.daemons.runtime import HttpServer
+from apricotvale.daemons.http_server import HttpServer
 from apricotvale.platform import names, wire
 from apricotvale.platform.client import PlatformClient
 from apricotvale.platform.infrastructure import InfrastructureClient
@@ -168,9 +168,7 @@
         client = await self.stack.enter_async_context(PlatformClient())
         self.entry = FleetEntry(settings, client, wire.parse_table)
         interface = RequestInterface(self.entry)
-        await self.stack.enter_async_context(
-            HttpServer(interface.make_app(), address, decode_bodies=False)
-        )
+        await self.stack.enter_async_context(interface.make_server(address))
         await self.stack.enter_async_context(HttpServer(interface.make_readiness_app(), ready))
         self.url, self.readiness = f"http://{address}", f"http://{ready}{names.READY_PATH}"
         self.tasks.append(asyncio.create_task(self.entry.run(asyncio.Event())))
--- a/tests/site.py
+++ b/tests/site.py
@@ -13,7 +13,7 @@
 from apricotvale.control.configuration import ConfigDocument
 from apricotvale.daemons.control import ControlDaemon
 from apricotvale.daemons.entry import Entry
-from apricotvale.daemons.runtime import HttpServer
+from apricotvale.daemons.http_server import HttpServer
 from apricotvale.daemons.sidecar import Sidecar
 from apricotvale.settings.schema import ProcessSettings, Upstream
 from apricotvale.standins.engine import Engine, EngineSpec, make_app
--- a/tests/test_crashing_completions.py
+++ b/tests/test_crashing_completions.py
@@ -11,7 +11,7 @@
 import pytest
 from aiohttp import web
 
-from apricotvale.daemons.runtime import HttpServer
+from apricotvale.daemons.http_server import HttpServer
 from apricotvale.settings.schema import Upstream
 from apricotvale.standins.engine import Engine, EngineSpec, make_app
 from scripts.ports import free_address
--- /dev/null
+++ b/tests/test_http_connections.py
@@ -0,0 +1,174 @@
+"""The bounds of single connections, over sockets to a small application."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from aiohttp import web
+
+from apricotvale.daemons.http_server import HttpServer
+from apricotvale.requests.peer_bounds import ConnectionLimits
+from scripts.ports import free_address
+from tests.client_crowds import connect
+
+ANSWER_TIMEOUT_S = 5.0
+FIRST = b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+SECOND = b"GET /2 HTTP/1.1\r\nHost: h\r\nLast: field\r\n\r\n"
+CHUNKED = b"POST /3 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+
+
+class Application:
+    """Answers each request with its path and body, and records it."""
+
+    def __init__(self):
+        self.requests = []
+        self.finish = asyncio.Event()
+        self.finish.set()
+
+    async def handle(self, request):
+        if request.path == "/unread":
+            return web.Response(text="unread")
+        body = await request.text()
+        self.requests.append((request.path, body))
+        await self.finish.wait()
+        return web.Response(text=f"{request.path} {body}")
+
+
+@pytest.fixture
+def application():
+    return Application()
+
+
+@pytest.fixture
+def serve(application):
+    @asynccontextmanager
+    async def serving(**limits):
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", application.handle)
+        address = free_address()
+        async with HttpServer(app, address, True, lambda: ConnectionLimits(**limits)):
+            reader, writer = await connect(address)
+            try:
+                yield reader, writer
+            finally:
+                writer.transport.abort()
+
+    return serving
+
+
+def peer_of(writer):
+    host, port = writer.get_extra_info("peername")
+    return f"{host}:{port}"
+
+
+async def read_answer(reader):
+    """Return the status, the header fields as text and the body of the next answer."""
+    async with asyncio.timeout(ANSWER_TIMEOUT_S):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        length = int(head.lower().partition("content-length: ")[2].split("\r\n")[0])
+        return int(head.split()[1]), head, (await reader.readexactly(length)).decode()
+
+
+async def read_bodies(reader, count):
+    return [(await read_answer(reader))[2] for _ in range(count)]
+
+
+async def is_closed(reader):
+    async with asyncio.timeout(ANSWER_TIMEOUT_S):
+        try:
+            return await reader.read() == b""
+        except ConnectionError:
+            return True
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 50, 1000])
+async def test_requests_are_answered_in_order_however_their_bytes_are_split(serve, size):
+    data = b"\r\n\n" + FIRST + SECOND + CHUNKED + SECOND + b"\r\n" + FIRST + CHUNKED
+    expected = ["/1 abc", "/2 ", "/3 abc", "/2 ", "/1 abc", "/3 abc"]
+    async with serve() as (reader, writer):
+        for start in range(0, len(data), size):
+            writer.write(data[start : start + size])
+            await writer.drain()
+            await asyncio.sleep(0.001)
+        assert await read_bodies(reader, 6) == expected
+
+
+async def test_requests_after_a_chunked_one_in_the_same_segment_are_served(serve):
+    """Guards against a head that is searched for its end from its middle."""
+    whole = CHUNKED + FIRST + CHUNKED + SECOND + FIRST
+    for cut in range(len(CHUNKED) + 1, len(whole)):
+        async with serve() as (reader, writer):
+            writer.write(whole[:cut])
+            await asyncio.sleep(0.005)
+            writer.write(whole[cut:])
+            expected = ["/3 abc", "/1 abc", "/3 abc", "/2 ", "/1 abc"]
+            assert await read_bodies(reader, 5) == expected, cut
+
+
+async def test_one_request_at_a_time_reaches_the_application(serve, application):
+    async with serve() as (reader, writer):
+        application.finish.clear()
+        writer.write(SECOND * 3)
+        await asyncio.sleep(0.1)
+        assert len(application.requests) == 1
+        application.finish.set()
+        assert await read_bodies(reader, 3) == ["/2 "] * 3
+
+
+async def test_a_head_over_the_bound_gets_431_and_is_not_passed_on(serve, application):
+    async with serve(head_bytes=500) as (reader, writer):
+        writer.write(b"GET /1 HTTP/1.1\r\n" + b"a: b\r\n" * 100_000)
+        assert (await read_answer(reader))[0] == 431
+        assert await is_closed(reader)
+    assert application.requests == []
+
+
+async def test_a_head_at_the_bound_is_served(serve):
+    head = b"GET /1 HTTP/1.1\r\nHost: h\r\nLong: " + b"x" * 460
+    async with serve(head_bytes=500) as (reader, writer):
+        writer.write(head[:494] + b"\r\n\r\n")
+        assert (await read_answer(reader))[0] == 200
+
+
+@pytest.mark.parametrize("first", [b"2\r\nxxyy\r\n", b"zz\r\n", b"2\r\nxx\r\nzz\r\n"])
+async def test_a_malformed_body_gets_400_at_once(serve, first):
+    async with serve() as (reader, writer):
+        writer.write(b"POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+        await asyncio.sleep(0.05)
+        writer.write(first)
+        assert (await read_answer(reader))[0] == 400
+
+
+async def test_bytes_that_are_no_request_get_one_answer(serve):
+    """Guards against a second refusal behind that of the HTTP library."""
+    async with serve() as (reader, writer):
+        writer.write(b"\x00" * 300_000)
+        assert (await read_answer(reader))[0] == 400
+        assert await is_closed(reader)
+
+
+async def test_a_body_that_is_not_read_is_skipped_before_the_next_request(serve):
+    async with serve() as (reader, writer):
+        writer.write(b"POST /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n")
+        assert (await read_answer(reader))[2] == "unread"
+        writer.write(b"x" * 200_000 + SECOND)
+        assert (await read_answer(reader))[2] == "/2 "
+
+
+async def test_an_expected_continuation_and_a_head_request_are_answered(serve):
+    async with serve() as (reader, writer):
+        writer.write(
+            b"POST /1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n"
+        )
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            assert b"100" in await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"abc" + SECOND)
+        assert await read_bodies(reader, 2) == ["/1 abc", "/2 "]
+
+
+async def test_trailers_without_an_end_close_the_connection(serve):
+    async with serve() as (reader, writer):
+        writer.write(CHUNKED[:-2] + b"a: b\r\n" * 2_000)
+        assert await is_closed(reader)
