Serve heads of any number of lines, and bound all heads together

A client in calm got 400 for a proper head of 14,890 bytes in 200 lines, and 431 for one of 16,000 bytes in 3,200 lines, both inside `max_header_bytes`.

Cause: the HTTP library's default of 128 lines, and a sum that counted a space after each colon that need not be there.

Change: the number of lines follows from the bound of a head. As a parsed line takes about half a KiB, 250 clients could then hold 250 heads of 16 KB inside their own bound: the memory of all heads, from the first byte until the answer is sent, is bounded by an eighth of the process's. Heads that are not whole make room, the oldest first; without room, a head is answered 503 and is never passed on, so that it has not run. Half of the room is left to small heads. A connection that is closed by force frees what the HTTP server holds of it at once: all 250 heads are read before the loop closes one.

--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -50,6 +50,7 @@
     :param settings: settings of the process.
     :param client: HTTP client for upstreams.
     :param parse_table: parses the route table document.
+    :param held: counts the bytes of bodies and answers; by default, of this entry alone.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         settings: FleetSettings,
         client: UpstreamClient,
         parse_table: Callable[[bytes], RouteTable],
+        held: ByteBudget | None = None,
     ) -> None:
         self.settings = settings
         self.link = FleetLink(settings.contact_addresses(), parse_table)
@@ -81,7 +83,7 @@
             self.guard,
         )
         self.streams = StreamRelay(self.forwarder, self.recorder, client.resume_field)
-        self.held = client.held = ByteBudget(held_limit(settings.memory_mb))
+        self.held = client.held = held or ByteBudget(held_limit(settings.memory_mb))
         self.forwarder.sent.limit = int(self.held.limit * UPSTREAM_SHARE)
         metrics.HELD_BYTES.set_function(lambda: self.held.held)
         self.usage = UsageReporter(settings, self.link) if settings.reports_usage else None
--- a/src/apricotvale/daemons/http_connections.py
+++ b/src/apricotvale/daemons/http_connections.py
@@ -1,4 +1,4 @@
-"""HTTP connections whose peers are bounded in what they send."""
+"""HTTP connections whose peers are bounded in what they send and how long they take."""
 
 from __future__ import annotations
 
@@ -14,7 +14,10 @@
     CHUNK_OVERHEAD,
     MAX_CHUNK_EXTRA,
     ConnectionLimits,
+    ConnectionState,
+    PeerBounds,
     Phase,
+    head_cost,
 )
 
 # Bytes that are read at a time, from all connections into the same buffer. Less is read where the
@@ -26,6 +29,8 @@
 HEAD_END = b"\r\n\r\n"
 
 HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
+NO_ROOM = b"503 Service Unavailable"
+NO_ROOM_FIELDS = b"Retry-After: 0.500\r\n"
 
 
 @define(eq=False)
@@ -36,6 +41,7 @@
     """
 
     server: web.Server
+    bounds: PeerBounds
     limits: Callable[[], ConnectionLimits]
     buffer: memoryview = field(factory=lambda: memoryview(bytearray(READ_BYTES)))
     connections: dict[Any, HttpConnection] = field(factory=dict)
@@ -65,8 +71,9 @@
 
     def __init__(self, listener: Listener) -> None:
         self.listener = listener
+        self.bounds = listener.bounds
         self.http = listener.server()
-        self.phase = Phase.FIRST_REQUEST
+        self.state = ConnectionState(self.drop)
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
         self.head_bytes = 0
         # The last bytes of a part of a head, whose end may lie across two parts.
@@ -86,15 +93,16 @@
     # Events of the transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Pass the connection on to the server."""
+        """Count the connection."""
         self.transport = cast(asyncio.Transport, transport)
+        self.bounds.admit(self.state)
         self.listener.connections[self.http] = self
         self.http.connection_made(transport)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer into which the next bytes are read."""
         buffer = self.listener.buffer
-        has_length = self.phase is Phase.BODY and self.body_left is not None
+        has_length = self.state.phase is Phase.BODY and self.body_left is not None
         return buffer if has_length else buffer[:SHORT_READ_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -116,8 +124,9 @@
         self.http.resume_writing()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the connection of the server."""
+        """Stop counting the connection."""
         self.is_closing = True
+        self.bounds.remove(self.state)
         if self.listener.connections.pop(self.http, None) is not None:
             self.http.connection_lost(exc)
 
@@ -126,9 +135,9 @@
     def receive(self, data: bytes) -> None:
         """Pass bytes on as far as the current phase allows, and hold the rest."""
         while data and not self.is_closing:
-            if self.phase in (Phase.BODY, Phase.REFUSED_BODY):
+            if self.state.phase in (Phase.BODY, Phase.REFUSED_BODY):
                 data = self.receive_body(data)
-            elif self.phase is Phase.ANSWER:
+            elif self.state.phase is Phase.ANSWER:
                 self.ahead += data
                 return
             else:
@@ -137,10 +146,10 @@
     def receive_head(self, data: bytes) -> bytes:
         """Pass on a part of a head; return the bytes after its end."""
         limits = self.listener.limits()
-        if self.phase is not Phase.HEAD:
+        if self.state.phase is not Phase.HEAD:
             self.head_bytes = 0
             self.head_tail, self.next_head_tail = self.next_head_tail, b""
-            self.phase = Phase.HEAD
+            self.bounds.enter(self.state, Phase.HEAD)
         if not self.head_tail:
             # Empty lines before a request are ignored.
             part = data.lstrip(b"\r\n")
@@ -151,14 +160,17 @@
         part, rest = data[:size], data[size:]
         self.head_bytes += len(part)
         if self.head_bytes > limits.head_bytes:
-            self.refuse(HEAD_TOO_LARGE, f"a head of more than {limits.head_bytes} bytes")
+            self.refuse(HEAD_TOO_LARGE, b"", f"a head of more than {limits.head_bytes} bytes")
+            return b""
+        if not self.bounds.claim_head(self.state, head_cost(part)):
+            self.refuse(NO_ROOM, NO_ROOM_FIELDS, "no room for another head")
             return b""
         self.head_tail = (self.head_tail + part)[1 - len(HEAD_END) :]
         if part:
             self.http.data_received(part)
         if self.has_server_answer():
             # The server calls `on_request`, or rejects the head and closes the connection.
-            self.phase = Phase.ANSWER
+            self.bounds.enter(self.state, Phase.ANSWER)
         return rest
 
     def has_server_answer(self) -> bool:
@@ -185,7 +197,7 @@
             if extra > MAX_CHUNK_EXTRA:
                 self.drop("a chunked body with too many other bytes")
         if self.body_left == 0:
-            self.phase = Phase.ANSWER
+            self.bounds.enter(self.state, Phase.ANSWER)
             if self.is_answered:
                 self.finish_request()
         return data[len(part) :]
@@ -201,9 +213,9 @@
         if self.body_left:
             self.body_left -= content.total_bytes
         if self.body_left == 0:
-            self.phase = Phase.ANSWER
+            self.bounds.enter(self.state, Phase.ANSWER)
         else:
-            self.phase = Phase.BODY
+            self.bounds.enter(self.state, Phase.BODY)
         task = asyncio.current_task()
         assert task is not None
         task.add_done_callback(self.on_answered)
@@ -218,7 +230,7 @@
         if self.body_left == 0:
             self.finish_request()
         else:
-            self.phase = Phase.REFUSED_BODY
+            self.bounds.enter(self.state, Phase.REFUSED_BODY)
 
     def finish_request(self) -> None:
         """Wait for the next request, or begin the one that is here already."""
@@ -226,7 +238,8 @@
             self.begin_closing()
             return
         self.request = None
-        self.phase = Phase.NEXT_REQUEST
+        self.bounds.release_head(self.state)
+        self.bounds.enter(self.state, Phase.NEXT_REQUEST)
         self.receive_ahead()
 
     def receive_ahead(self) -> None:
@@ -238,11 +251,11 @@
 
     # Ends
 
-    def refuse(self, status: bytes, why: str) -> None:
+    def refuse(self, status: bytes, fields: bytes, why: str) -> None:
         """Refuse a request that the server has not got as a whole, and close the connection."""
         self.note_closed(why)
-        fields = b"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-        self.transport.write(b"HTTP/1.1 " + status + fields)
+        fields += b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+        self.transport.write(b"HTTP/1.1 " + status + b"\r\n" + fields)
         self.transport.close()
         self.begin_closing()
 
@@ -259,7 +272,8 @@
         if not self.is_closing:
             self.is_closing = True
             self.ahead = b""
-            self.phase = Phase.REFUSED_BODY
+            self.bounds.release_head(self.state)
+            self.bounds.enter(self.state, Phase.REFUSED_BODY)
 
     def note_closed(self, why: str) -> None:
         """Count and log a connection that is closed by force."""
@@ -267,6 +281,8 @@
         events.emit(
             events.CONNECTION_CLOSED,
             why=why,
-            phase=self.phase.value,
+            phase=self.state.phase.value,
             head_bytes=self.head_bytes,
+            heads_held=self.bounds.heads.held,
+            open=self.bounds.open_connections,
         )
--- a/src/apricotvale/daemons/http_server.py
+++ b/src/apricotvale/daemons/http_server.py
@@ -10,11 +10,13 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from apricotvale.daemons.http_connections import READ_BYTES, Listener
-from apricotvale.requests.peer_bounds import ConnectionLimits
+from apricotvale.requests.peer_bounds import ConnectionLimits, PeerBounds
 
 SHUTDOWN_TIMEOUT_S = 1.0
-# The bounds of the connections apply before this limit of the HTTP library.
+# The bounds of the connections apply before these limits of the HTTP library, whose defaults reject
+# heads that are within the bounds. A line has at least four bytes.
 MAX_LINE_BYTES = 1024 * 1024
+MAX_LINES = MAX_LINE_BYTES // 4
 IDLE_TIMEOUT_S = 24 * 3600.0
 BACKLOG = 128
 
@@ -46,6 +48,7 @@
     :param address: `host:port` to listen on.
     :param decode_bodies: whether bodies with a content encoding are decoded; must be False for
         bodies that are forwarded.
+    :param bounds: bounds that the listeners of the process share; none by default.
     :param limits: returns the limits on a connection that are in force.
     """
 
@@ -54,9 +57,11 @@
         app: web.Application,
         address: str,
         decode_bodies: bool = True,
+        bounds: PeerBounds | None = None,
         limits: Callable[[], ConnectionLimits] = ConnectionLimits,
     ) -> None:
         self.address = address
+        self.bounds = bounds or PeerBounds()
         self.limits = limits
         self.runner = web.AppRunner(
             app,
@@ -67,6 +72,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
+            max_headers=MAX_LINES,
             read_bufsize=READ_BYTES,
             auto_decompress=decode_bodies,
         )
@@ -77,7 +83,7 @@
         host, _, port = self.address.rpartition(":")
         await self.runner.setup()
         assert self.runner.server is not None
-        self.listener = Listener(self.runner.server, self.limits)
+        self.listener = Listener(self.runner.server, self.bounds, self.limits)
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(self.listener, host, int(port), backlog=BACKLOG)
         return self
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -19,7 +19,7 @@
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run
 from apricotvale.platform import delivery, names, streaming, wire
 from apricotvale.requests.calls import Answer, Call
-from apricotvale.requests.peer_bounds import ConnectionLimits
+from apricotvale.requests.peer_bounds import ConnectionLimits, PeerBounds
 from apricotvale.routes import Limits, Route, RouteKind, RouteTable
 
 STATUS_BY_REASON = {
@@ -59,9 +59,12 @@
         app.on_response_prepare.append(self.close_while_stopping)
         return app
 
-    def make_server(self, address: str) -> HttpServer:
-        """Create the server for callers."""
-        return HttpServer(self.make_app(), address, False, self.connection_limits)
+    def make_server(self, address: str, bounds: PeerBounds | None = None) -> HttpServer:
+        """Create the server for callers.
+
+        :param bounds: bounds that the listeners of the process share.
+        """
+        return HttpServer(self.make_app(), address, False, bounds, self.connection_limits)
 
     def connection_limits(self) -> ConnectionLimits:
         """Return the limits on a caller's connection.
@@ -275,7 +278,8 @@
     :param deadline: when the request can no longer be answered in time; a body that is not whole
         by then is refused.
     """
-    header_bytes = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
+    # Spaces around a value are not counted.
+    header_bytes = sum(len(name) + len(value) + 3 for name, value in request.raw_headers)
     if header_bytes > limits.max_header_bytes:
         detail = (
             f"the header fields have {header_bytes} bytes, the limit is {limits.max_header_bytes}"
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -17,16 +17,18 @@
 from apricotvale.log_writer import configure_bounded
 from apricotvale.platform import names, wire
 from apricotvale.platform.client import PlatformClient
+from apricotvale.requests.held_bytes import ByteBudget, held_limit
+from apricotvale.requests.peer_bounds import PeerBounds, make_bounds
 from apricotvale.settings.fleet import FleetSettings, load_fleet
 
 # The imports of a role and its first messages are over by then.
 GARBAGE_DELAY_S = 2.0
 SETTINGS_VARIABLE = "APRICOTVALE_BOOT"
 
-Role = Callable[[FleetSettings, asyncio.Event], Awaitable[None]]
+Role = Callable[[FleetSettings, PeerBounds, asyncio.Event], Awaitable[None]]
 
 
-async def run_entry(settings: FleetSettings, stop: asyncio.Event) -> None:
+async def run_entry(settings: FleetSettings, bounds: PeerBounds, stop: asyncio.Event) -> None:
     """Run an entry: serve callers until `stop` is set, then finish their requests."""
     # Imports of one role are left to it: half of the time to restart an entry are imports.
     from apricotvale.daemons.fleet_entry import FleetEntry
@@ -34,11 +36,13 @@
 
     async with AsyncExitStack() as stack:
         client = await stack.enter_async_context(PlatformClient())
-        entry = FleetEntry(settings, client, wire.parse_table)
+        entry = FleetEntry(settings, client, wire.parse_table, bounds.held)
         interface = RequestInterface(entry)
-        readiness = HttpServer(interface.make_readiness_app(), settings.readiness)
+        app = interface.make_readiness_app()
+        readiness = HttpServer(app, settings.readiness, bounds=bounds)
         await stack.enter_async_context(readiness)
-        server = await stack.enter_async_context(interface.make_server(settings.requests))
+        server = interface.make_server(settings.requests, bounds)
+        await stack.enter_async_context(server)
         events.emit(events.STARTED, listen=settings.requests)
         metrics.record_start()
         install_reload_handler(lambda: reload(entry.apply_settings))
@@ -47,7 +51,7 @@
     events.emit(events.STOPPED)
 
 
-async def run_control(settings: FleetSettings, stop: asyncio.Event) -> None:
+async def run_control(settings: FleetSettings, bounds: PeerBounds, stop: asyncio.Event) -> None:
     """Run control: serve operators, trainers, upstreams and entries until `stop` is set."""
     from apricotvale.daemons.fleet_control import FleetControl
     from apricotvale.platform.infrastructure import InfrastructureClient
@@ -60,7 +64,8 @@
         control = FleetControl(
             settings, client, wire.parse_table, names.EVENT_VERSION_FIELD, infrastructure
         )
-        server = HttpServer(ControlInterface(control).make_app(), settings.interface)
+        app = ControlInterface(control).make_app()
+        server = HttpServer(app, settings.interface, bounds=bounds)
         await stack.enter_async_context(server)
         install_reload_handler(lambda: reload(control.apply_settings))
         await control.run(stop)
@@ -86,14 +91,21 @@
     gc.enable()
 
 
+def process_bounds(settings: FleetSettings) -> PeerBounds:
+    """Return the bounds that all listeners of a process share."""
+    held = ByteBudget(held_limit(settings.memory_mb))
+    return make_bounds(settings.memory_mb, held)
+
+
 async def run_role(role: Role, settings: FleetSettings, stop: asyncio.Event) -> None:
     """Run a role, with its metrics served alongside if an address for them is set."""
     asyncio.get_running_loop().call_later(GARBAGE_DELAY_S, collect_garbage)
+    bounds = process_bounds(settings)
     async with AsyncExitStack() as stack:
         if settings.metrics:
-            server = HttpServer(metrics.make_app(), settings.metrics)
+            server = HttpServer(metrics.make_app(), settings.metrics, bounds=bounds)
             await stack.enter_async_context(server)
-        await role(settings, stop)
+        await role(settings, bounds, stop)
 
 
 ROLES: dict[str, Role] = {"entry": run_entry, "control": run_control}
--- a/src/apricotvale/settings/fleet.py
+++ b/src/apricotvale/settings/fleet.py
@@ -48,8 +48,9 @@
         least=1,
     )
     memory_mb: float = option(
-        "memory of the process's VM in MiB, of which an entry holds at most a quarter in request "
-        "bodies and answers; 0 if unknown, for no bound",
+        "memory of the process's VM in MiB, of which it holds at most an eighth in heads of "
+        "requests, and an entry at most a quarter in their bodies and answers; 0 if unknown, for "
+        "no bound",
         0.0,
         least=0,
     )
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -9,7 +9,8 @@
 from aiohttp import web
 
 from apricotvale.daemons.http_server import HttpServer
-from apricotvale.requests.peer_bounds import ConnectionLimits
+from apricotvale.requests.held_bytes import ByteBudget
+from apricotvale.requests.peer_bounds import ConnectionLimits, PeerBounds, head_cost
 from scripts.ports import free_address
 from tests.client_crowds import connect
 
@@ -44,11 +45,12 @@
 @pytest.fixture
 def serve(application):
     @asynccontextmanager
-    async def serving(**limits):
+    async def serving(bounds=None, **limits):
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", application.handle)
         address = free_address()
-        async with HttpServer(app, address, True, lambda: ConnectionLimits(**limits)):
+        shared = bounds or PeerBounds()
+        async with HttpServer(app, address, True, shared, lambda: ConnectionLimits(**limits)):
             reader, writer = await connect(address)
             try:
                 yield reader, writer
@@ -132,6 +134,26 @@
         assert (await read_answer(reader))[0] == 200
 
 
+async def test_a_head_without_room_gets_503_and_has_not_run(serve, application):
+    """Guards against a refusal that breaks its promise: the request must not run later."""
+    cost = head_cost(SECOND)
+    bounds = PeerBounds(heads=ByteBudget(cost + 100))
+    async with serve(bounds) as (first_reader, first):
+        application.finish.clear()
+        first.write(SECOND)
+        await asyncio.sleep(0.05)
+        reader, writer = await connect(peer_of(first))
+        writer.write(SECOND)
+        status, head, _ = await read_answer(reader)
+        assert status == 503 and "Retry-After: 0.5" in head
+        assert await is_closed(reader)
+        writer.close()
+        application.finish.set()
+        assert (await read_answer(first_reader))[0] == 200
+        assert bounds.heads.held == 0
+    assert len(application.requests) == 1
+
+
 @pytest.mark.parametrize("first", [b"2\r\nxxyy\r\n", b"zz\r\n", b"2\r\nxx\r\nzz\r\n"])
 async def test_a_malformed_body_gets_400_at_once(serve, first):
     async with serve() as (reader, writer):
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -76,7 +76,9 @@
         readiness=entry.readiness,
         stop_s=DEADLINE_MS / 1000,
     )
-    entry.task = asyncio.create_task(start.run_entry(settings, entry.stop))
+    entry.task = asyncio.create_task(
+        start.run_entry(settings, start.process_bounds(settings), entry.stop)
+    )
     async with running(site, entry, f"http://{entry.readiness}{names.READY_PATH}"):
         yield entry
 
@@ -222,7 +224,9 @@
         data_folder=str(tmp_path / "storage-9"),
         lease_ms=300,
     )
-    replica.task = asyncio.create_task(start.run_control(settings, replica.stop))
+    replica.task = asyncio.create_task(
+        start.run_control(settings, start.process_bounds(settings), replica.stop)
+    )
     async with running(site, replica, f"http://{replica.address}{names.CONFIG_PATH}"):
         yield replica
 
