--- a/src/apricotvale/platform/answers.py
+++ b/src/apricotvale/platform/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import math
 
 import aiohttp
@@ -76,32 +77,47 @@
 async def read_body(
     response: aiohttp.ClientResponse, held: ByteBudget, max_bytes: int = MAX_ANSWER_BYTES
 ) -> bytes:
-    """Read a body, counting its bytes as they arrive.
+    """Read a body, counting its bytes as they arrive, or at once if its length is stated.
 
     :param held: counts the bytes while they are read.
     :param max_bytes: bound of the body alone.
     :raises OversizedAnswerError: if the body exceeds its bound or the process's; the connection is
         then closed.
     """
-    chunks = []
+    body = io.BytesIO()
+    stated_bytes = 0 if response.method == "HEAD" else response.content_length or 0
     with Hold(held) as hold:
+        hold.resize(stated_bytes)
+        check_body(response, hold, max_bytes)
         async for chunk in response.content.iter_any():
-            chunks.append(chunk)
-            hold.resize(hold.size + len(chunk))
-            if hold.size > max_bytes or held.is_exceeded_by(hold.size):
-                response.close()
-                metrics.UPSTREAM_BYTES_REJECTED.inc()
-                why = "the body of an answer exceeds its bound"
-                events.emit(
-                    events.UPSTREAM_BYTES_REJECTED,
-                    why=why,
-                    bytes=hold.size,
-                    limit=max_bytes,
-                    held_bytes=held.held,
-                    held_limit=held.limit,
-                )
-                raise OversizedAnswerError(f"{why}: {hold.size} bytes")
-        return b"".join(chunks)
+            body.write(chunk)
+            if body.tell() > hold.size:
+                hold.resize(body.tell())
+            check_body(response, hold, max_bytes)
+        # Unlike the join of a list of chunks, this makes no copy.
+        return body.getvalue()
+
+
+def check_body(response: aiohttp.ClientResponse, hold: Hold, max_bytes: int) -> None:
+    """Check that the counted bytes of a body are within the bounds.
+
+    :raises OversizedAnswerError: if they are not; the connection is then closed.
+    """
+    held = hold.budget
+    if hold.size <= max_bytes and not held.is_exceeded_by(hold.size):
+        return
+    response.close()
+    metrics.UPSTREAM_BYTES_REJECTED.inc()
+    why = "the body of an answer exceeds its bound"
+    events.emit(
+        events.UPSTREAM_BYTES_REJECTED,
+        why=why,
+        bytes=hold.size,
+        limit=max_bytes,
+        held_bytes=held.held,
+        held_limit=held.limit,
+    )
+    raise OversizedAnswerError(f"{why}: {hold.size} bytes")
 
 
 async def read_answer(
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -11,13 +11,14 @@
 
 from apricotvale import clock, events, metrics
 from apricotvale.customers.access import Caller, identify, job_customer, upstream_customer
+from apricotvale.daemons import delivery
 from apricotvale.daemons.fleet_entry import FleetEntry
 from apricotvale.daemons.http_server import HttpServer
 from apricotvale.exceptions import BadInputError
 from apricotvale.fleet import calls
 from apricotvale.numerals import parse_number
 from apricotvale.outcomes import Ran, Reason, Refusal, not_run
-from apricotvale.platform import delivery, names, streaming, wire
+from apricotvale.platform import names, streaming, wire
 from apricotvale.requests.calls import Answer, Call
 from apricotvale.requests.peer_bounds import ConnectionLimits, PeerBounds
 from apricotvale.routes import Limits, Route, RouteKind, RouteTable
@@ -49,9 +50,13 @@
 
     def make_app(self) -> web.Application:
         """Create the application to serve on the address for callers."""
-        # Without a known memory nothing is counted.
-        middlewares = [delivery.make_middleware(self.entry)] if self.entry.held.limit else []
-        app = web.Application(middlewares=middlewares)
+        app = web.Application()
+        if self.entry.held.limit:
+            # Without a known memory nothing is counted.
+            sending = delivery.Delivery(
+                self.entry.held, names.REQUEST_ID, self.entry.count_in_flight
+            )
+            app.middlewares.append(sending.hold_bytes)
         app.router.add_get(names.RESULTS_PATH, self.on_results)
         app.router.add_delete(names.RESULTS_PATH, self.on_end_job)
         app.router.add_get(names.ITEM_PATH, self.on_item)
@@ -273,10 +278,7 @@
 async def read_body(request: web.Request, limits: Limits, deadline: float) -> bytes | Refusal:
     """Read a request's body; return a refusal if the header or the body exceeds the limits.
 
-    A body with a stated length is refused before it is read if the entry has no room for it.
-
-    :param deadline: when the request can no longer be answered in time; a body that is not whole
-        by then is refused.
+    :param deadline: when the request can no longer be answered in time.
     """
     # Spaces around a value are not counted.
     header_bytes = sum(len(name) + len(value) + 3 for name, value in request.raw_headers)
@@ -285,26 +287,7 @@
             f"the header fields have {header_bytes} bytes, the limit is {limits.max_header_bytes}"
         )
         return not_run(Reason.HEADERS_TOO_LARGE, detail)
-    max_bytes = limits.max_body_bytes
-    if (request.content_length or 0) > max_bytes:
-        detail = f"the body has {request.content_length} bytes, the limit is {max_bytes}"
-        return not_run(Reason.BODY_TOO_LARGE, detail)
-    stated_bytes = request.content_length or 0
-    refusal = delivery.claim_bytes(request, stated_bytes)
-    if refusal is not None:
-        return refusal
-    body = bytearray()
-    while chunk := await delivery.read_chunk(request, deadline):
-        if isinstance(chunk, Refusal):
-            return chunk
-        body += chunk
-        if len(body) > max_bytes:
-            return not_run(Reason.BODY_TOO_LARGE, f"the body has more than {max_bytes} bytes")
-        if not stated_bytes:
-            refusal = delivery.claim_bytes(request, len(chunk))
-            if refusal is not None:
-                return refusal
-    return bytes(body)
+    return await delivery.read_body(request, limits.max_body_bytes, deadline)
 
 
 def request_deadline(request: web.Request, route: Route, arrived: float) -> float:
--- a/src/apricotvale/requests/held_bytes.py
+++ b/src/apricotvale/requests/held_bytes.py
@@ -18,10 +18,9 @@
 # memory then have at most 50 to 140 MiB in flight to it.
 UPSTREAM_SHARE = 1 / 16
 # Answers are read on beyond the bound up to this multiple of it, since their requests have run.
-# Then those above a share of the bound are given up, so that answers without an end cannot exhaust
-# the memory together.
-ANSWERS_FACTOR = 2
-ANSWER_SHARE = 1 / 8
+# Then all but small ones are given up, so that large answers cannot exhaust the memory together.
+ANSWERS_FACTOR = 1.5
+SMALL_ANSWER_BYTES = 64 * 1024
 
 
 @define
@@ -43,12 +42,13 @@
     def is_exceeded_by(self, size: int) -> bool:
         """Return whether an answer of which this many bytes are counted has to be given up.
 
-        Load pattern: upstreams send answers without an end, one or many at a time.
+        Load pattern: upstreams send answers without an end, one or many at a time, or many callers
+        ask for large ones at once.
         """
         if not self.limit:
             return False
         is_crowded = self.held > ANSWERS_FACTOR * self.limit
-        return size > self.limit or (is_crowded and size > self.limit * ANSWER_SHARE)
+        return size > self.limit or (is_crowded and size > SMALL_ANSWER_BYTES)
 
 
 @define
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -11,7 +11,8 @@
 import pytest
 
 from apricotvale import events
-from apricotvale.platform import delivery, names
+from apricotvale.daemons import delivery
+from apricotvale.platform import names
 from apricotvale.requests.held_bytes import (
     BYTES_PER_MIB,
     ByteBudget,
