Count what streams hold for callers that read slowly

Callers saw an entry end for want of memory while 250 clients read streams of 3.3 MB at about 2 kB/s.

Cause: each stream holds up to 1 MiB, in the buffer of its upstream's connection (256 KiB by default, and twice that ahead), as a chunk, and in the buffer of the caller's connection; nothing counts them together.

Change: an upstream's answer is read 64 KiB ahead, a setting of the HTTP library. What a stream holds for a caller that has not read the last chunks is counted with bodies and answers, and the slowest readers are cut while there is no room. A stream whose caller keeps up counts nothing.

--- a/src/apricotvale/daemons/delivery.py
+++ b/src/apricotvale/daemons/delivery.py
@@ -33,6 +33,9 @@
 RETRY_AFTER_S = 0.5
 # A caller has this long to read before it can be disconnected to make room.
 MIN_READ_S = 1.0
+# Bytes that a stream whose caller reads slowly holds besides those in the send buffer: what was
+# received from its upstream meanwhile.
+STREAM_AHEAD_BYTES = 384 * 1024
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -230,6 +233,32 @@
     return transport.get_write_buffer_size() + in_kernel[0]
 
 
+@contextmanager
+def sending_stream(request: web.Request) -> Iterator[Callable[[bytes], None]]:
+    """Count what a stream holds for a caller that reads slowly.
+
+    The context yields a function that is called with each chunk before it is written.
+    """
+    delivery = request.get(DELIVERY_KEY)
+    transport = request.transport
+    if delivery is None or transport is None:
+        yield lambda chunk: None
+        return
+    with (
+        Hold(delivery.held) as hold,
+        delivery.reading(request, transport, hold) as reader,
+    ):
+
+        def count_chunk(chunk: bytes) -> None:
+            """Count a chunk; disconnect the slowest callers if that is too much."""
+            reader.sent_bytes += len(chunk)
+            unsent = transport.get_write_buffer_size() + len(chunk)
+            hold.resize(2 * unsent + STREAM_AHEAD_BYTES if unsent > SMALL_BYTES else 0)
+            delivery.make_room()
+
+        yield count_chunk
+
+
 def claim_bytes(request: web.Request, size: int) -> Refusal | None:
     """Count bytes of a request's body; return a refusal if the process has no room for them."""
     hold, delivery = request.get(HOLD_KEY), request.get(DELIVERY_KEY)
--- a/src/apricotvale/platform/connections.py
+++ b/src/apricotvale/platform/connections.py
@@ -16,6 +16,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # TCP_USER_TIMEOUT: the kernel closes a connection if sent data is unacknowledged for this long.
 USER_TIMEOUT_MS = 1_500
+# An answer is read this far ahead of its caller.
+READ_BYTES = 64 * 1024
 # Interim responses (status 1xx) before the answer of a request.
 MAX_INTERIM_RESPONSES = 8
 FIRST_FINAL_STATUS = 200
@@ -146,6 +148,7 @@
         connector=connector,
         response_class=UpstreamResponse,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        read_bufsize=READ_BYTES,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=skip_auto_headers,
--- a/src/apricotvale/platform/streaming.py
+++ b/src/apricotvale/platform/streaming.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from apricotvale import clock, events
+from apricotvale.daemons import delivery
 from apricotvale.daemons.fleet_entry import FleetEntry
 from apricotvale.daemons.stream_relay import RelayedStream
 from apricotvale.numerals import parse_number
@@ -58,11 +59,13 @@
             response.headers.add(name, value)
         try:
             async with asyncio.timeout(max(0.0, call.deadline - clock.now())):
-                await response.prepare(request)
-                async for chunk in result.chunks():
-                    await response.write(chunk)
-                if result.is_whole:
-                    await response.write_eof()
+                with delivery.sending_stream(request) as count_chunk:
+                    await response.prepare(request)
+                    async for chunk in result.chunks():
+                        count_chunk(chunk)
+                        await response.write(chunk)
+                    if result.is_whole:
+                        await response.write_eof()
         except TimeoutError:
             result.is_whole = False
         if not result.is_whole and request.transport is not None:
