Bound the bodies and answers that control holds

Operators saw a control replica end for want of memory while 60 clients sent bodies of 8 MB that stop short to PUT /api/config, or 250 clients read a configuration of 1 MB slowly.

Cause: control read each body up to 32 MiB, with no bound on all of them and no time limit, and wrote each answer into the connection as a whole, with a copy.

Change: control uses the same delivery as an entry.

--- a/src/apricotvale/platform/interface.py
+++ b/src/apricotvale/platform/interface.py
@@ -7,26 +7,36 @@
 from aiohttp import web
 
 from apricotvale import clock, events
+from apricotvale.daemons import delivery
 from apricotvale.daemons.fleet_control import FleetControl
 from apricotvale.exceptions import BadInputError
 from apricotvale.fleet import calls
+from apricotvale.outcomes import Reason
 from apricotvale.platform import names, wire
+from apricotvale.requests.held_bytes import ByteBudget
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
+# Heartbeats, and versions of weights.
+MAX_REPORT_BYTES = 1024 * 1024
+BODY_TIMEOUT_S = 60.0
 # Callers try the next replica after one second.
 CALL_TIMEOUT_S = 0.9
 CONFIG_TIMEOUT_S = 3.0
 
 
 class ControlInterface:
-    """HTTP handlers of a control replica."""
+    """HTTP handlers of a control replica.
 
-    def __init__(self, control: FleetControl) -> None:
+    :param held: counts the bytes of bodies and answers; without a bound by default.
+    """
+
+    def __init__(self, control: FleetControl, held: ByteBudget | None = None) -> None:
         self.control = control
+        self.delivery = delivery.Delivery(held or ByteBudget(), names.REQUEST_ID)
 
     def make_app(self) -> web.Application:
         """Create the application to serve on the interface address."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application(middlewares=[self.delivery.hold_bytes])
         app.router.add_put(names.CONFIG_PATH, self.on_put_config)
         app.router.add_get(names.CONFIG_PATH, self.on_get_config)
         app.router.add_put(names.REPLICA_PATH, self.on_heartbeat)
@@ -38,7 +48,9 @@
 
     async def on_put_config(self, request: web.Request) -> web.Response:
         """Validate and store a route table."""
-        body = await request.read()
+        body = await read_document(request, MAX_BODY_BYTES)
+        if isinstance(body, web.Response):
+            return body
         try:
             table = wire.parse_table(body)
         except BadInputError as error:
@@ -55,8 +67,11 @@
 
     async def on_heartbeat(self, request: web.Request) -> web.Response:
         """Record an upstream's heartbeat."""
+        body = await read_document(request, MAX_REPORT_BYTES)
+        if isinstance(body, web.Response):
+            return body
         try:
-            upstream = wire.parse_heartbeat(request.match_info["id"], await request.read())
+            upstream = wire.parse_heartbeat(request.match_info["id"], body)
         except BadInputError as error:
             return rejection_response("heartbeat", error, upstream=request.match_info["id"])
         reply = await self.control.call(calls.Heartbeat(upstream), clock.now() + CALL_TIMEOUT_S)
@@ -72,8 +87,11 @@
 
     async def on_version(self, request: web.Request) -> web.Response:
         """Publish a model's newest weight version."""
+        body = await read_document(request, MAX_REPORT_BYTES)
+        if isinstance(body, web.Response):
+            return body
         try:
-            call = wire.parse_version(await request.read())
+            call = wire.parse_version(body)
         except BadInputError as error:
             return rejection_response("version", error)
         return await self.answer(call, CALL_TIMEOUT_S)
@@ -95,6 +113,15 @@
         return status_response(await self.control.call(call, clock.now() + timeout_s))
 
 
+async def read_document(request: web.Request, max_bytes: int) -> bytes | web.Response:
+    """Read a JSON document; return a response with status 413 or 503 if there is no room for it."""
+    body = await delivery.read_body(request, max_bytes, clock.now() + BODY_TIMEOUT_S)
+    if isinstance(body, bytes):
+        return body
+    too_large = body.reason is Reason.BODY_TOO_LARGE
+    return web.json_response({"error": body.detail}, status=413 if too_large else 503)
+
+
 def status_response(reply: Any) -> web.Response:
     """Return the HTTP response for a reply that carries no data."""
     if isinstance(reply, calls.Accepted):
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -64,7 +64,7 @@
         control = FleetControl(
             settings, client, wire.parse_table, names.EVENT_VERSION_FIELD, infrastructure
         )
-        app = ControlInterface(control).make_app()
+        app = ControlInterface(control, bounds.held).make_app()
         server = HttpServer(app, settings.interface, bounds=bounds)
         await stack.enter_async_context(server)
         install_reload_handler(lambda: reload(control.apply_settings))
