Refuse documents with more values than there is memory to parse

Callers saw an entry or a control replica end for want of memory after one job or configuration of 30 MB, inside `max_body_bytes`, made of ten million empty lists.

Cause: a parsed value takes up to a hundred times the bytes of its text, and only the text was counted.

Change: the values of a document, counted by the commas and brackets before them, claim memory within the bound on bodies before the document is parsed. One that could never fit gets 413, another one 503.

Ruled out: a parser that skips unknown fields; the texts of items and routes are lists of known fields too.

--- a/src/apricotvale/daemons/delivery.py
+++ b/src/apricotvale/daemons/delivery.py
@@ -16,7 +16,7 @@
 
 from apricotvale import clock, events, metrics
 from apricotvale.outcomes import Reason, Refusal, not_run
-from apricotvale.requests.held_bytes import ByteBudget, Hold
+from apricotvale.requests.held_bytes import ByteBudget, Hold, parsed_cost
 
 # A caller that reads nothing during this many checks in a row is disconnected. Checks are counted
 # instead of time, since time also passes while this process is suspended and no caller can read.
@@ -270,6 +270,16 @@
     return delivery.refuse(request, hold, size, "too many bytes of other requests are held")
 
 
+def claim_parsed(request: web.Request, document: bytes) -> Refusal | None:
+    """Count the values of a JSON document; refuse it if there is no room to parse it."""
+    hold = request.get(HOLD_KEY)
+    cost = parsed_cost(document)
+    if hold is not None and 0 < hold.budget.limit < cost:
+        detail = f"the document has too many values for a process with {hold.budget.limit} bytes"
+        return not_run(Reason.BODY_TOO_LARGE, detail)
+    return claim_bytes(request, cost)
+
+
 async def read_body(request: web.Request, max_bytes: int, deadline: float) -> bytes | Refusal:
     """Read a request's body; refuse it if it is too large or there is no room for it.
 
--- a/src/apricotvale/platform/interface.py
+++ b/src/apricotvale/platform/interface.py
@@ -11,7 +11,7 @@
 from apricotvale.daemons.fleet_control import FleetControl
 from apricotvale.exceptions import BadInputError
 from apricotvale.fleet import calls
-from apricotvale.outcomes import Reason
+from apricotvale.outcomes import Reason, Refusal
 from apricotvale.platform import names, wire
 from apricotvale.requests.held_bytes import ByteBudget
 
@@ -116,10 +116,12 @@
 async def read_document(request: web.Request, max_bytes: int) -> bytes | web.Response:
     """Read a JSON document; return a response with status 413 or 503 if there is no room for it."""
     body = await delivery.read_body(request, max_bytes, clock.now() + BODY_TIMEOUT_S)
-    if isinstance(body, bytes):
+    refusal = body if isinstance(body, Refusal) else delivery.claim_parsed(request, body)
+    if refusal is None:
+        assert isinstance(body, bytes)
         return body
-    too_large = body.reason is Reason.BODY_TOO_LARGE
-    return web.json_response({"error": body.detail}, status=413 if too_large else 503)
+    too_large = refusal.reason is Reason.BODY_TOO_LARGE
+    return web.json_response({"error": refusal.detail}, status=413 if too_large else 503)
 
 
 def status_response(reply: Any) -> web.Response:
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -167,6 +167,9 @@
                 not_run(Reason.BAD_REQUEST, "a job is submitted by POST with a request id"),
                 request_id,
             )
+        refusal = delivery.claim_parsed(request, body)
+        if refusal is not None:
+            return refusal_response(refusal, request_id)
         try:
             job = wire.parse_job(request_id, request.host, request.raw_path, body)
         except BadInputError as error:
--- a/src/apricotvale/requests/held_bytes.py
+++ b/src/apricotvale/requests/held_bytes.py
@@ -21,6 +21,9 @@
 # Then all but small ones are given up, so that large answers cannot exhaust the memory together.
 ANSWERS_FACTOR = 1.5
 SMALL_ANSWER_BYTES = 64 * 1024
+# Memory that a value of a JSON document takes once it is parsed, besides the bytes of its text. A
+# value is counted by the comma or bracket before it.
+VALUE_COST = 96
 
 
 @define
@@ -111,6 +114,11 @@
                 del self.in_flight[incarnation]
 
 
+def parsed_cost(document: bytes) -> int:
+    """Return the memory that the values of a JSON document take at most once they are parsed."""
+    return VALUE_COST * sum(document.count(mark) for mark in (b",", b"[", b"{"))
+
+
 def held_limit(memory_mb: float) -> int:
     """Return the bound on held bytes for a memory in MiB; 0 if the memory is unknown."""
     return int(memory_mb * BYTES_PER_MIB * HELD_SHARE)
--- a/tests/test_peer_bounds.py
+++ b/tests/test_peer_bounds.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from apricotvale.requests.held_bytes import BYTES_PER_MIB, ByteBudget
+from apricotvale.requests.held_bytes import BYTES_PER_MIB, ByteBudget, parsed_cost
 from apricotvale.requests.peer_bounds import (
     SMALL_HEAD_COST,
     ConnectionState,
@@ -80,3 +80,8 @@
     bounds = make_bounds(160, held)
     assert bounds.held is held
     assert bounds.heads.limit == 20 * BYTES_PER_MIB
+
+
+def test_a_document_is_counted_by_its_values():
+    assert parsed_cost(b'{"a":[1,2,3]}') == 4 * 96
+    assert parsed_cost(b'"' + b"x" * 1000 + b'"') == 0
