Close connections that wait longest when descriptors run out

Callers got no answer from an entry with 150 descriptors while 200 clients held connections on which they sent nothing, half a head, or nothing more after an answer, at any of its listeners; it served again once they left.

Cause: `header_timeout_ms` and `idle_timeout_ms` were read by no process, a connection that sent nothing stayed for 30 s, and nothing bounded their number, so that new connections found no descriptor.

Change: a process accepts connections up to two fifths of its descriptors (the new setting `max_fds`, or the system's limit), over all listeners. The one that has waited longest without a request at work is closed for a new one, those that never sent a request before kept ones. A head that is not whole in `header_timeout_ms` gets 408, which is true: it has not run. Idle connections are closed at `idle_timeout_ms`. The clock of these deadlines does not count the time in which the process is suspended. The queue of new connections is at most a quarter of the bound, as all of it is accepted before the first connection is closed.

--- a/src/apricotvale/daemons/http_connections.py
+++ b/src/apricotvale/daemons/http_connections.py
@@ -9,10 +9,13 @@
 from aiohttp import web
 from attrs import define, field
 
-from apricotvale import events, metrics
+from apricotvale import clock, events, metrics
+from apricotvale.daemons.delivery import unread_bytes
+from apricotvale.daemons.runtime import TaskGroup
 from apricotvale.requests.peer_bounds import (
     CHUNK_OVERHEAD,
     MAX_CHUNK_EXTRA,
+    NEVER,
     ConnectionLimits,
     ConnectionState,
     PeerBounds,
@@ -26,9 +29,15 @@
 SHORT_READ_BYTES = 16 * 1024
 # Bytes of a next request with which a connection is not read any further.
 AHEAD_BYTES = 4 * 1024
+CHECK_INTERVAL_S = 0.5
+# A body that brings no byte for this long is given up.
+BODY_STALL_S = 10.0
+# Time that the peer of a closed connection has to read the end of its answer.
+CLOSE_TIMEOUT_S = 5.0
 HEAD_END = b"\r\n\r\n"
 
 HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
+HEAD_TOO_SLOW = b"408 Request Timeout"
 NO_ROOM = b"503 Service Unavailable"
 NO_ROOM_FIELDS = b"Retry-After: 0.500\r\n"
 
@@ -45,12 +54,14 @@
     limits: Callable[[], ConnectionLimits]
     buffer: memoryview = field(factory=lambda: memoryview(bytearray(READ_BYTES)))
     connections: dict[Any, HttpConnection] = field(factory=dict)
+    tasks: TaskGroup = field(factory=TaskGroup)
 
     def __call__(self) -> HttpConnection:
         """Return the protocol of a new connection."""
         return HttpConnection(self)
 
-    def __attrs_post_init__(self) -> None:
+    async def __aenter__(self) -> Listener:
+        await self.tasks.__aenter__()
         handle = self.server.request_handler
 
         async def handle_request(request: web.BaseRequest) -> web.StreamResponse:
@@ -60,6 +71,20 @@
             return await handle(request)
 
         self.server.request_handler = handle_request
+        self.bounds.advance(clock.now())
+        self.tasks.start(self.check_deadlines())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.tasks.__aexit__(*exc_info)
+
+    async def check_deadlines(self) -> None:
+        """End the phases of connections whose deadline has passed."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.bounds.advance(clock.now())
+            for connection in list(self.connections.values()):
+                connection.check_deadline()
 
 
 class HttpConnection(asyncio.BufferedProtocol):
@@ -89,13 +114,17 @@
         self.body_left: int | None = 0
         self.body_bytes = 0
         self.is_closing = False
+        # Bytes that the peer of a closed connection had left to read.
+        self.unread_bytes = 0
 
     # Events of the transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Count the connection."""
+        """Count the connection; close it if there is no room for another one."""
         self.transport = cast(asyncio.Transport, transport)
-        self.bounds.admit(self.state)
+        if not self.bounds.admit(self.state, self.listener.limits().idle_timeout_s):
+            self.drop("no room for another connection")
+            return
         self.listener.connections[self.http] = self
         self.http.connection_made(transport)
 
@@ -149,7 +178,7 @@
         if self.state.phase is not Phase.HEAD:
             self.head_bytes = 0
             self.head_tail, self.next_head_tail = self.next_head_tail, b""
-            self.bounds.enter(self.state, Phase.HEAD)
+            self.bounds.enter(self.state, Phase.HEAD, limits.head_timeout_s)
         if not self.head_tail:
             # Empty lines before a request are ignored.
             part = data.lstrip(b"\r\n")
@@ -170,7 +199,7 @@
             self.http.data_received(part)
         if self.has_server_answer():
             # The server calls `on_request`, or rejects the head and closes the connection.
-            self.bounds.enter(self.state, Phase.ANSWER)
+            self.bounds.enter(self.state, Phase.ANSWER, limits.head_timeout_s)
         return rest
 
     def has_server_answer(self) -> bool:
@@ -197,9 +226,11 @@
             if extra > MAX_CHUNK_EXTRA:
                 self.drop("a chunked body with too many other bytes")
         if self.body_left == 0:
-            self.bounds.enter(self.state, Phase.ANSWER)
+            self.bounds.enter(self.state, Phase.ANSWER, NEVER)
             if self.is_answered:
                 self.finish_request()
+        else:
+            self.bounds.enter(self.state, self.state.phase, BODY_STALL_S)
         return data[len(part) :]
 
     # Requests
@@ -213,9 +244,9 @@
         if self.body_left:
             self.body_left -= content.total_bytes
         if self.body_left == 0:
-            self.bounds.enter(self.state, Phase.ANSWER)
+            self.bounds.enter(self.state, Phase.ANSWER, NEVER)
         else:
-            self.bounds.enter(self.state, Phase.BODY)
+            self.bounds.enter(self.state, Phase.BODY, BODY_STALL_S)
         task = asyncio.current_task()
         assert task is not None
         task.add_done_callback(self.on_answered)
@@ -230,7 +261,7 @@
         if self.body_left == 0:
             self.finish_request()
         else:
-            self.bounds.enter(self.state, Phase.REFUSED_BODY)
+            self.bounds.enter(self.state, Phase.REFUSED_BODY, BODY_STALL_S)
 
     def finish_request(self) -> None:
         """Wait for the next request, or begin the one that is here already."""
@@ -239,7 +270,8 @@
             return
         self.request = None
         self.bounds.release_head(self.state)
-        self.bounds.enter(self.state, Phase.NEXT_REQUEST)
+        idle_timeout_s = self.listener.limits().idle_timeout_s
+        self.bounds.enter(self.state, Phase.NEXT_REQUEST, idle_timeout_s)
         self.receive_ahead()
 
     def receive_ahead(self) -> None:
@@ -251,12 +283,32 @@
 
     # Ends
 
+    def check_deadline(self) -> None:
+        """End the current phase if its deadline has passed."""
+        if self.transport.is_closing():
+            self.begin_closing()
+        if self.is_closing:
+            self.note_reading()
+        if self.bounds.now < self.state.deadline:
+            return
+        if self.is_closing:
+            self.transport.abort()
+        elif self.state.phase is Phase.HEAD:
+            self.refuse(HEAD_TOO_SLOW, b"", "a head that was not whole in time")
+        else:
+            self.drop("no bytes in time")
+
     def refuse(self, status: bytes, fields: bytes, why: str) -> None:
-        """Refuse a request that the server has not got as a whole, and close the connection."""
+        """Refuse a request that the server has not got as a whole, and close the connection.
+
+        It is read no more. It is kept until the peer has had time to read the answer, which a
+        reset would discard.
+        """
         self.note_closed(why)
         fields += b"Content-Length: 0\r\nConnection: close\r\n\r\n"
         self.transport.write(b"HTTP/1.1 " + status + b"\r\n" + fields)
-        self.transport.close()
+        self.transport.write_eof()
+        self.transport.pause_reading()
         self.begin_closing()
 
     def drop(self, why: str) -> None:
@@ -268,12 +320,19 @@
         self.transport.abort()
 
     def begin_closing(self) -> None:
-        """Ignore what still arrives."""
+        """Ignore what still arrives, and let the peer read the end of its answer for a while."""
         if not self.is_closing:
             self.is_closing = True
             self.ahead = b""
             self.bounds.release_head(self.state)
-            self.bounds.enter(self.state, Phase.REFUSED_BODY)
+            self.bounds.enter(self.state, Phase.REFUSED_BODY, CLOSE_TIMEOUT_S)
+
+    def note_reading(self) -> None:
+        """Give the peer of a closed connection more time while it reads."""
+        unread = unread_bytes(self.transport)
+        if unread != self.unread_bytes:
+            self.unread_bytes = unread
+            self.bounds.enter(self.state, Phase.REFUSED_BODY, CLOSE_TIMEOUT_S)
 
     def note_closed(self, why: str) -> None:
         """Count and log a connection that is closed by force."""
--- a/src/apricotvale/daemons/http_server.py
+++ b/src/apricotvale/daemons/http_server.py
@@ -4,13 +4,15 @@
 
 import asyncio
 import logging
+import resource
 from collections.abc import Callable
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
 from apricotvale.daemons.http_connections import READ_BYTES, Listener
-from apricotvale.requests.peer_bounds import ConnectionLimits, PeerBounds
+from apricotvale.requests.held_bytes import ByteBudget
+from apricotvale.requests.peer_bounds import ConnectionLimits, PeerBounds, make_bounds
 
 SHUTDOWN_TIMEOUT_S = 1.0
 # The bounds of the connections apply before these limits of the HTTP library, whose defaults reject
@@ -18,7 +20,9 @@
 MAX_LINE_BYTES = 1024 * 1024
 MAX_LINES = MAX_LINE_BYTES // 4
 IDLE_TIMEOUT_S = 24 * 3600.0
+# Connections that wait to be accepted. All may be accepted before one is closed for another.
 BACKLOG = 128
+BACKLOG_SHARE = 1 / 4
 
 
 def remove_request_text(record: logging.LogRecord) -> bool:
@@ -48,7 +52,8 @@
     :param address: `host:port` to listen on.
     :param decode_bodies: whether bodies with a content encoding are decoded; must be False for
         bodies that are forwarded.
-    :param bounds: bounds that the listeners of the process share; none by default.
+    :param bounds: bounds that the listeners of the process share; those on descriptors alone by
+        default.
     :param limits: returns the limits on a connection that are in force.
     """
 
@@ -61,7 +66,7 @@
         limits: Callable[[], ConnectionLimits] = ConnectionLimits,
     ) -> None:
         self.address = address
-        self.bounds = bounds or PeerBounds()
+        self.bounds = bounds or make_bounds(0.0, open_files_limit(), ByteBudget())
         self.limits = limits
         self.runner = web.AppRunner(
             app,
@@ -84,8 +89,12 @@
         await self.runner.setup()
         assert self.runner.server is not None
         self.listener = Listener(self.runner.server, self.bounds, self.limits)
+        await self.listener.__aenter__()
+        backlog = BACKLOG
+        if self.bounds.max_connections:
+            backlog = min(BACKLOG, max(1, int(self.bounds.max_connections * BACKLOG_SHARE)))
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(self.listener, host, int(port), backlog=BACKLOG)
+        self.server = await loop.create_server(self.listener, host, int(port), backlog=backlog)
         return self
 
     async def stop_accepting(self) -> None:
@@ -97,3 +106,15 @@
     async def __aexit__(self, *exc_info: object) -> None:
         await self.stop_accepting()
         await self.runner.cleanup()
+        if self.listener is not None:
+            await self.listener.__aexit__(*exc_info)
+
+
+def open_files_limit(stated: int = 0) -> int:
+    """Return the descriptors that the process may have open, 0 if there is no limit.
+
+    :param stated: the number that its settings state, 0 if unknown.
+    """
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    limits = [limit for limit in (stated, soft) if limit > 0]
+    return min(limits, default=0)
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -76,7 +76,12 @@
 
         The request line may be as long as all header fields.
         """
-        return ConnectionLimits(2 * self.entry.limits.max_header_bytes)
+        limits = self.entry.limits
+        return ConnectionLimits(
+            2 * limits.max_header_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        )
 
     def make_readiness_app(self) -> web.Application:
         """Create the application to serve on the readiness address."""
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from apricotvale import events, mechanisms, metrics
-from apricotvale.daemons.http_server import HttpServer
+from apricotvale.daemons.http_server import HttpServer, open_files_limit
 from apricotvale.daemons.runtime import install_reload_handler, run
 from apricotvale.exceptions import ApricotvaleError
 from apricotvale.log_writer import configure_bounded
@@ -94,7 +94,7 @@
 def process_bounds(settings: FleetSettings) -> PeerBounds:
     """Return the bounds that all listeners of a process share."""
     held = ByteBudget(held_limit(settings.memory_mb))
-    return make_bounds(settings.memory_mb, held)
+    return make_bounds(settings.memory_mb, open_files_limit(settings.max_fds), held)
 
 
 async def run_role(role: Role, settings: FleetSettings, stop: asyncio.Event) -> None:
--- a/src/apricotvale/platform/wire.py
+++ b/src/apricotvale/platform/wire.py
@@ -141,6 +141,7 @@
         Limits(
             typed_field(limits, "max_header_bytes", int, defaults.max_header_bytes),
             typed_field(limits, "max_body_bytes", int, defaults.max_body_bytes),
+            typed_field(limits, "header_timeout_ms", float, defaults.header_timeout_ms),
             typed_field(limits, "idle_timeout_ms", float, defaults.idle_timeout_ms),
         ),
         parse_customers(document),
--- a/src/apricotvale/routes/table.py
+++ b/src/apricotvale/routes/table.py
@@ -89,10 +89,16 @@
 
 @frozen
 class Limits:
-    """Limits on requests from callers."""
+    """Limits on requests from callers.
+
+    :param max_header_bytes: size of the header fields.
+    :param header_timeout_ms: time from the first byte of a request to the end of its header fields.
+    :param idle_timeout_ms: time for which a connection may be idle.
+    """
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 32 * 1024 * 1024
+    header_timeout_ms: float = 10_000.0
     idle_timeout_ms: float = 15_000.0
 
 
--- a/src/apricotvale/settings/fleet.py
+++ b/src/apricotvale/settings/fleet.py
@@ -54,6 +54,12 @@
         0.0,
         least=0,
     )
+    max_fds: int = option(
+        "descriptors that the process may have open, of which two fifths are for connections that "
+        "it accepts; 0 for the limit that the system states",
+        0,
+        least=0,
+    )
     infrastructure: str = option(
         "address of the infrastructure for calls that one process makes, host:port; empty disables "
         "them",
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -8,6 +8,7 @@
 import pytest
 from aiohttp import web
 
+from apricotvale.daemons import http_connections
 from apricotvale.daemons.http_server import HttpServer
 from apricotvale.requests.held_bytes import ByteBudget
 from apricotvale.requests.peer_bounds import ConnectionLimits, PeerBounds, head_cost
@@ -43,7 +44,9 @@
 
 
 @pytest.fixture
-def serve(application):
+def serve(application, monkeypatch):
+    monkeypatch.setattr(http_connections, "CHECK_INTERVAL_S", 0.05)
+
     @asynccontextmanager
     async def serving(bounds=None, **limits):
         app = web.Application()
@@ -134,6 +137,26 @@
         assert (await read_answer(reader))[0] == 200
 
 
+async def test_a_head_that_is_not_whole_in_time_gets_408(serve, application):
+    async with serve(head_timeout_s=0.2) as (reader, writer):
+        for byte in SECOND:
+            if writer.is_closing():
+                break
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0.03)
+        assert (await read_answer(reader))[0] == 408
+    assert application.requests == []
+
+
+async def test_an_idle_connection_is_closed_at_its_deadline(serve):
+    async with serve(idle_timeout_s=1.5) as (reader, writer):
+        for _ in range(6):
+            await asyncio.sleep(0.3)
+            writer.write(SECOND)
+            assert (await read_answer(reader))[0] == 200
+        assert await is_closed(reader)
+
+
 async def test_a_head_without_room_gets_503_and_has_not_run(serve, application):
     """Guards against a refusal that breaks its promise: the request must not run later."""
     cost = head_cost(SECOND)
@@ -190,6 +213,17 @@
         assert await read_bodies(reader, 2) == ["/1 abc", "/2 "]
 
 
+async def test_a_new_connection_takes_the_place_of_a_silent_one(serve):
+    bounds = PeerBounds(max_connections=2)
+    async with serve(bounds) as (silent, writer):
+        others = [await connect(peer_of(writer)) for _ in range(2)]
+        assert await is_closed(silent)
+        for reader, writer in others:
+            writer.write(SECOND)
+            assert (await read_answer(reader))[0] == 200
+            writer.close()
+
+
 async def test_trailers_without_an_end_close_the_connection(serve):
     async with serve() as (reader, writer):
         writer.write(CHUNKED[:-2] + b"a: b\r\n" * 2_000)
