Test the ends of connections, and name the request of a late body in the log

A body that was not whole in time was logged with its path in place of the request's id since delivery moved out of the platform's folder; no caller saw a difference. Both are logged now.

--- a/src/apricotvale/daemons/delivery.py
+++ b/src/apricotvale/daemons/delivery.py
@@ -326,5 +326,6 @@
         if hold is not None and delivery is not None and left_s > BODY_STALL_S:
             return delivery.refuse(request, hold, 0, "the body brought no bytes for too long")
         detail = "the body was not complete by the request's deadline"
-        events.emit(events.INPUT_REJECTED, request=request.path, error=detail)
+        request_id = delivery.request_id(request) if delivery is not None else None
+        events.emit(events.INPUT_REJECTED, request=request_id, path=request.path, error=detail)
         return not_run(Reason.DEADLINE_EXPIRED, detail)
--- a/tests/test_fleet_settings.py
+++ b/tests/test_fleet_settings.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 
 import pytest
@@ -43,6 +44,17 @@
     assert not settings.reports_usage
 
 
+@pytest.mark.parametrize(("stated", "system", "expected"), [(100, 300, 40), (300, 100, 40)])
+def test_connections_are_bounded_by_the_fewer_descriptors(
+    settings_file, monkeypatch, stated, system, expected
+):
+    settings_file.write_text(f"{VALID_SETTINGS}max_fds = {stated}\nmemory_mb = 160\n")
+    monkeypatch.setattr(resource, "getrlimit", lambda kind: (system, system))
+    bounds = start.process_bounds(load_fleet(settings_file))
+    assert bounds.max_connections == expected
+    assert bounds.held.limit == 2 * bounds.heads.limit == 40 * 1024 * 1024
+
+
 @pytest.mark.parametrize(
     ("address", "duties", "expected"),
     [("127.0.0.9:80", ["metering"], True), ("", ["metering"], False), ("127.0.0.9:80", [], False)],
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -16,6 +16,7 @@
 from tests.client_crowds import connect
 
 ANSWER_TIMEOUT_S = 5.0
+LARGE_BYTES = 8_000_000
 FIRST = b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
 SECOND = b"GET /2 HTTP/1.1\r\nHost: h\r\nLast: field\r\n\r\n"
 CHUNKED = b"POST /3 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
@@ -32,6 +33,8 @@
     async def handle(self, request):
         if request.path == "/unread":
             return web.Response(text="unread")
+        if request.path == "/large":
+            return web.Response(body=b"x" * LARGE_BYTES)
         body = await request.text()
         self.requests.append((request.path, body))
         await self.finish.wait()
@@ -228,3 +231,30 @@
     async with serve() as (reader, writer):
         writer.write(CHUNKED[:-2] + b"a: b\r\n" * 2_000)
         assert await is_closed(reader)
+
+
+async def test_a_slow_reader_gets_the_end_of_an_answer_that_closes(serve, monkeypatch):
+    """Guards against a time limit that does not ask whether the peer still reads."""
+    monkeypatch.setattr(http_connections, "CLOSE_TIMEOUT_S", 0.4)
+    async with serve() as (_, first):
+        reader, writer = await connect(peer_of(first), 65_536)
+        writer.write(b"GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        received = 0
+        while chunk := await reader.read(65_536):
+            received += len(chunk)
+            await asyncio.sleep(0.01)
+        assert received == LARGE_BYTES
+
+
+async def test_a_refused_connection_that_its_peer_keeps_is_dropped(serve, monkeypatch):
+    monkeypatch.setattr(http_connections, "CLOSE_TIMEOUT_S", 0.4)
+    bounds = PeerBounds()
+    async with serve(bounds, head_bytes=500) as (_, first):
+        reader, writer = await connect(peer_of(first))
+        writer.write(b"GET /1 HTTP/1.1\r\n" + b"a: b\r\n" * 1_000)
+        assert (await read_answer(reader))[0] == 431
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while bounds.open_connections > 1:
+                await asyncio.sleep(0.05)
+        writer.close()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -307,6 +307,13 @@
     assert (report.orders, report.busy, report.models) == (2, False, {"m0": 3})
 
 
+def test_the_limits_of_a_connection_are_read():
+    limits = {"max_header_bytes": 100, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+    document = {"version": 1, "routes": [], "services": [], "limits": limits}
+    read = wire.parse_table(json.dumps(document).encode()).limits
+    assert read == Limits(100, header_timeout_ms=3000.0, idle_timeout_ms=15000.0)
+
+
 def test_missing_limits_have_their_defaults():
     document = {"version": 1, "routes": [], "services": [], "limits": {"max_body_bytes": 7}}
     limits = wire.parse_table(json.dumps(document).encode()).limits
