Bound the pages of results that reads may get at the same moment

Callers saw an entry end for want of memory while 250 clients asked for the same page of results of 770 kB, a few dozen times ahead, and read it slowly.

Cause: the reply of control, the outputs in it and the document made of them were held before anything was counted; the answer was counted last. All reads are sent to control at once, so that all replies arrive together.

Change: a page claims room for its outputs and its document before it is made. Beyond 16 reads at a time, each claims 1 MiB, the most that a page has, before control is asked. Without room a read gets 503 with Retry-After.

Found while a crowd was played that the review had not probed; the test is new.

--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -40,6 +40,9 @@
 RETRY_STATUSES = (429, REFUSED_STATUS)
 # Room comes back as jobs end or leave their retention period, which takes seconds.
 JOBS_FULL_RETRY_S = 2.0
+# Reads of results that wait for control without room for a whole page.
+UNCOUNTED_READS = 16
+PAGE_BYTES = 1024 * 1024
 
 
 class RequestInterface:
@@ -47,6 +50,7 @@
 
     def __init__(self, entry: FleetEntry) -> None:
         self.entry = entry
+        self.reads_in_flight = 0
 
     def make_app(self) -> web.Application:
         """Create the application to serve on the address for callers."""
@@ -229,8 +233,22 @@
                 job_id,
             )
         query = calls.ReadResults(job_id, after, wait_ms, customer)
-        reply = await self.entry.read_results(query)
+        if self.reads_in_flight >= UNCOUNTED_READS:
+            # Each of them may get a whole page at the same moment.
+            refusal = delivery.claim_bytes(request, PAGE_BYTES)
+            if refusal is not None:
+                return refusal_response(refusal, job_id)
+        self.reads_in_flight += 1
+        try:
+            reply = await self.entry.read_results(query)
+        finally:
+            self.reads_in_flight -= 1
         if isinstance(reply, calls.ResultsRead):
+            # The document is held beside the outputs while it is made.
+            output_bytes = sum(len(result.output) for result in reply.results)
+            refusal = delivery.claim_bytes(request, 2 * output_bytes)
+            if refusal is not None:
+                return refusal_response(refusal, job_id)
             return web.json_response(wire.format_results(reply))
         return job_failure_response(reply, job_id)
 
--- a/tests/client_crowds.py
+++ b/tests/client_crowds.py
@@ -218,6 +218,25 @@
             self.peak_fds = max(self.peak_fds, self.entry.descriptors())
             await asyncio.sleep(0.02)
 
+    async def run_job(self, job_id, document):
+        """Submit a job; return the bytes of the page with all its results."""
+        base = f"http://{self.addresses['requests']}"
+        fields = {"Host": HOST, "Request-Id": job_id}
+        async with (
+            asyncio.timeout(START_TIMEOUT_S),
+            aiohttp.ClientSession(headers=fields) as session,
+        ):
+            async with session.post(f"{base}/drafts/jobs", json=document) as response:
+                assert response.status == 202, await response.text()
+            while True:
+                async with session.get(f"{base}/api/lots/{job_id}?after=0") as response:
+                    page = await response.read()
+                    if response.status == 200 and json.loads(page)["next"] == len(
+                        document["items"]
+                    ):
+                        return len(page)
+                await asyncio.sleep(0.1)
+
     # An ordinary client
 
     async def is_answered(self, listener):
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -13,7 +13,7 @@
 import pytest
 
 from tests.client_crowds import Deployment, held_open, press, send_endlessly
-from tests.platform_site import HOST
+from tests.platform_site import HOST, item, job
 
 pytestmark = pytest.mark.crowd
 
@@ -145,6 +145,17 @@
         await deployment.check("interface")
 
 
+async def test_pages_of_results_that_are_read_slowly(deployment):
+    deployment.engine.events, deployment.engine.event_s = 75, 0.0
+    deployment.engine.marks_events, deployment.engine.mark = True, "x" * 1_000
+    items = [item(f"i-{number}", scored=False) for number in range(10)]
+    assert await deployment.run_job("j-1", job(*items)) > 700_000
+    payload = f"GET /api/lots/j-1?after=0 HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode() * 30
+    async with held_open(deployment.addresses["requests"], LARGE_CROWD, payload, READ_BYTES):
+        await deployment.check("requests")
+        await deployment.check("interface")
+
+
 @pytest.mark.parametrize("listener", ["requests", "interface"])
 async def test_a_document_of_many_small_values(deployment, listener):
     """Guards against a body inside its limit that is many times larger once it is parsed."""
