Write the HTTP server's log records as events, which wait for no reader

Callers got no answer any more from an entry to which clients had sent some thousand malformed requests, while nobody read its error output.

Cause: the HTTP library logs each of them by `logging`, which without a handler writes to standard error and waits once the pipe is full. All other lines of a process are events, whose output is bounded and never waits.

Change: the server's logger has a handler that writes `input-rejected` with `what=http`, or `task-failed` with the end of the traceback. A malformed body that has got its 400 is not logged as an error of the program besides.

The test starts an entry whose error output is a pipe that is not read.

--- a/src/apricotvale/daemons/http_server.py
+++ b/src/apricotvale/daemons/http_server.py
@@ -5,11 +5,13 @@
 import asyncio
 import logging
 import resource
+import traceback
 from collections.abc import Callable
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
+from apricotvale import events
 from apricotvale.daemons.http_connections import READ_BYTES, Listener
 from apricotvale.requests.held_bytes import ByteBudget
 from apricotvale.requests.peer_bounds import ConnectionLimits, PeerBounds, make_bounds
@@ -24,10 +26,26 @@
 BACKLOG = 128
 BACKLOG_SHARE = 1 / 4
 DEFAULT_LIMITS = ConnectionLimits()
+MAX_TRACEBACK_CHARS = 2_000
+
+
+class EventHandler(logging.Handler):
+    """Writes the records of the HTTP server as log events.
+
+    The output of events is bounded and does not wait for a reader, unlike that of `logging`.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        if record.exc_info:
+            text = "".join(traceback.format_exception(*record.exc_info))[-MAX_TRACEBACK_CHARS:]
+            events.emit(events.TASK_FAILED, error=f"{record.getMessage()}: {text}")
+        else:
+            events.emit(events.INPUT_REJECTED, what="http", error=record.getMessage())
 
 
 def remove_request_text(record: logging.LogRecord) -> bool:
-    """Remove the text of a malformed request from a log record, and drop records below a warning.
+    """Remove the text of a malformed request from a log record; drop records that say nothing new.
 
     The errors of the HTTP parser quote header lines, and these may hold a customer's key. Their
     tracebacks refer to the bytes received and to themselves, so that these bytes would stay until
@@ -38,13 +56,16 @@
         record.msg = f"{record.getMessage()}: {type(error).__name__}, status {error.code}"
         record.args, record.exc_info = (), None
         error.__traceback__ = None
-    return record.levelno >= logging.WARNING
+    # A request that ended with such an exception has got its answer.
+    is_answer = isinstance(error, web.HTTPException)
+    return record.levelno >= logging.WARNING and not is_answer
 
 
 HTTP_LOGGER = logging.getLogger("apricotvale.http")
 # The server logs some errors of the parser as such records.
 HTTP_LOGGER.setLevel(logging.DEBUG)
 HTTP_LOGGER.addFilter(remove_request_text)
+HTTP_LOGGER.addHandler(EventHandler())
 
 
 class HttpServer:
--- a/tests/client_crowds.py
+++ b/tests/client_crowds.py
@@ -46,12 +46,14 @@
     """A process of the deployment.
 
     :param max_fds: descriptors that it may have open; 0 for the limit of the tests.
+    :param errors_are_read: whether its error output goes to the log, or to a pipe that is not read.
     """
 
     role: str
     folder: Path
     settings: dict
     max_fds: int = 0
+    errors_are_read: bool = True
     child: subprocess.Popen | None = None
 
     def start(self):
@@ -67,7 +69,7 @@
                 env=environment,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
-                stderr=log,
+                stderr=log if self.errors_are_read else subprocess.PIPE,
                 preexec_fn=limit_descriptors(self.max_fds),
             )
 
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -89,6 +89,17 @@
     await deployment.check(listener)
 
 
+async def test_malformed_requests_while_nobody_reads_the_error_output(tmp_path):
+    """Guards against a process that waits until its log is read."""
+    deployment = Deployment(tmp_path, MEMORY_MB)
+    deployment.entry.errors_are_read = False
+    async with deployment:
+        address = deployment.addresses["requests"]
+        malformed = GET + b"no colon\r\n\r\n"
+        await press(send_endlessly(address, malformed, b"x", 10_000) for _ in range(CROWD))
+        await deployment.check("requests")
+
+
 HELD = {
     "heads-over-the-limit": (CROWD, GET + (b"a: " + b"b" * 60_000 + b"\r\n") * 25),
     "heads-of-short-lines": (LARGE_CROWD, GET + head_of(16_000, 3_200)),
