--- a/src/apricotvale/daemons/http_connections.py
+++ b/src/apricotvale/daemons/http_connections.py
@@ -46,6 +46,8 @@
 class Listener:
     """The connections of one listening socket.
 
+    :param server: the HTTP server, which would otherwise be the protocol factory of the socket.
+    :param bounds: bounds that the listeners of a process share.
     :param limits: returns the limits in force.
     """
 
@@ -62,6 +64,7 @@
 
     async def __aenter__(self) -> Listener:
         await self.tasks.__aenter__()
+        # The server calls this for each request whose head it has parsed.
         handle = self.server.request_handler
 
         async def handle_request(request: web.BaseRequest) -> web.StreamResponse:
@@ -101,6 +104,7 @@
     def __init__(self, listener: Listener) -> None:
         self.listener = listener
         self.bounds = listener.bounds
+        # The protocol of the HTTP server, which gets the events of the transport from this one.
         self.http = listener.server()
         self.state = ConnectionState(self.drop)
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
@@ -210,6 +214,7 @@
 
     def has_server_answer(self) -> bool:
         """Return whether the server has a request to answer, or bytes to reject as malformed."""
+        # Nothing public tells that the server has rejected a part of a head or a body.
         return bool(self.http._messages)
 
     def receive_body(self, data: bytes) -> bytes:
