--- a/review/10/case.py
+++ b/review/10/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+import os
 import sys
 import time
 from pathlib import Path
@@ -129,4 +130,4 @@
         return breaks
 
 
-run_case(play, FOLDER)
+run_case(play, FOLDER, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -585,13 +585,13 @@
     }
 
 
-def run_case(play, folder, limit_s=115.0):
+def run_case(play, folder, trouble, limit_s=115.0):
     """Run a case; exit with 1 if the rule was broken, 0 if it held and 2 if it could not run.
 
     :param play: called with the record and whether to play the disruption; returns a list of
         breaks, None if the case could not run.
+    :param trouble: whether to play the disruption.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(folder))
     record(f"the disruption is {'on' if trouble else 'off'}")
 
