Answer or refuse every request that an entry gets while it stops

Cause: the entry waited until no request was in flight, but each connection that was idle since before the signal could bring another one. Nothing compared what a request may last with the time left, and none of those in flight got an answer at the end. The HTTP server read requests for one second more after the wait.

Ruled out: connections that the balancer opened late; the listening socket is closed at 3.2 s.

Change: once the balancer has removed the entry, connections that wait for a request are closed, but for those with unread bytes. A request that has begun is refused with 503 if its deadline lies behind the end of the stop. What is in flight 0.9 s before the stop time gets 502, or 503 if it was not sent. A drain ends without a connection that could bring a request.

Why it works: after the drain no connection waits for a request, and each request that is passed on ends before the process or is answered by the entry.

test_a_stopping_entry_follows_control_until_its_requests_are_answered used idle connections after the balancer had removed the entry, which are closed now. Its connections hold the beginning of a request instead, which is served as before; it checks the same.

--- a/src/apricotvale/daemons/delivery.py
+++ b/src/apricotvale/daemons/delivery.py
@@ -218,19 +218,32 @@
 DELIVERY_KEY = web.RequestKey("delivery", Delivery)
 
 
+def kernel_bytes(transport: asyncio.Transport, query: int) -> int:
+    """Return how many bytes the kernel holds for a connection, 0 if that is not known.
+
+    :param query: `ioctl` request that asks for the bytes of one direction.
+    """
+    count = array.array("i", [0])
+    connection = transport.get_extra_info("socket")
+    try:
+        fcntl.ioctl(connection.fileno(), query, count)
+    except (OSError, AttributeError, ValueError):
+        return 0
+    return count[0]
+
+
+def received_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes that the peer has sent and the process has not read."""
+    return kernel_bytes(transport, termios.FIONREAD)
+
+
 def unread_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes that the peer has not acknowledged, in the process and in the kernel.
 
     The kernel accepts more bytes only in large steps, so that the process's buffer alone would make
     a slow reader look idle.
     """
-    in_kernel = array.array("i", [0])
-    connection = transport.get_extra_info("socket")
-    try:
-        fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, in_kernel)
-    except (OSError, AttributeError, ValueError):
-        in_kernel[0] = 0
-    return transport.get_write_buffer_size() + in_kernel[0]
+    return transport.get_write_buffer_size() + kernel_bytes(transport, termios.TIOCOUTQ)
 
 
 @contextmanager
--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from contextlib import asynccontextmanager, contextmanager, nullcontext
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager, nullcontext
 from typing import Any
 
 from attrs import evolve
@@ -15,6 +15,7 @@
 from apricotvale.daemons.crash_guard import CrashGuard
 from apricotvale.daemons.fleet_link import FleetLink
 from apricotvale.daemons.forwarder import Forwarder
+from apricotvale.daemons.in_flight import STOP_MARGIN_S, InFlight
 from apricotvale.daemons.leader_client import ATTEMPT_TIMEOUT_S
 from apricotvale.daemons.leaving import LeavingReporter
 from apricotvale.daemons.limit_reporter import LimitReporter
@@ -24,7 +25,7 @@
 from apricotvale.daemons.stream_relay import RelayedStream, StreamRelay
 from apricotvale.daemons.usage_reporter import UsageReporter
 from apricotvale.fleet import calls
-from apricotvale.outcomes import Reason, Refusal, not_run
+from apricotvale.outcomes import Reason, Refusal, not_run, unknown
 from apricotvale.requests.calls import Answer, Call, TakeUp, UpstreamClient
 from apricotvale.requests.forwarding import ForwardedRequest
 from apricotvale.requests.held_bytes import UPSTREAM_SHARE, ByteBudget, held_limit
@@ -41,8 +42,9 @@
 # The load balancer probes once per second and removes an entry after two failed probes; until then
 # it opens new connections to the entry.
 BALANCER_REMOVAL_S = 3.2
-# Part of the stop time that is reserved for closing connections.
-STOP_MARGIN_S = 0.7
+# Time for sending the answers to requests that are given up.
+LAST_ANSWERS_S = 0.2
+STOPPING_DETAIL = "the entry stops before the request's end"
 
 
 class FleetEntry:
@@ -95,9 +97,9 @@
             lambda: client_of_leader.current_address,
         )
         self.stopping = False
-        self.active = 0
-        self.idle = asyncio.Event()
-        self.idle.set()
+        # Whether the balancer opens no more connections to this entry, which is stopping.
+        self.is_draining = False
+        self.in_flight = InFlight()
 
     def on_news(self, reply: calls.WatchReply) -> None:
         """Adopt what control knows of requests under suspicion and of origins."""
@@ -118,18 +120,6 @@
         """Apply reloaded settings; only the contact addresses change at run time."""
         self.link.set_contacts(settings.contact_addresses())
 
-    @contextmanager
-    def count_in_flight(self) -> Iterator[None]:
-        """Count a request as in flight while the context is open."""
-        self.active += 1
-        self.idle.clear()
-        try:
-            yield
-        finally:
-            self.active -= 1
-            if not self.active:
-                self.idle.set()
-
     async def wait_for_table(self) -> None:
         """Wait up to `FIRST_TABLE_TIMEOUT_S` for the first route table after a start.
 
@@ -160,6 +150,16 @@
             UNCONFIRMED_RETRY_S,
         )
 
+    def refuse_late(self, deadline: float) -> Refusal | None:
+        """Refuse a request that may last longer than this entry, which is stopping.
+
+        Other entries can run it. Before the balancer has removed the entry, it may have no other
+        one to go to.
+        """
+        if not self.is_draining or deadline <= self.in_flight.answer_by:
+            return None
+        return not_run(Reason.DRAINING, STOPPING_DETAIL, 0.0)
+
     async def forward(self, route: Route, call: Call, arrived: float) -> Answer | Refusal:
         """Forward a request, log the result and return it.
 
@@ -169,13 +169,23 @@
         counting = self.usage.counting(call, request) if self.usage else nullcontext()
         try:
             with counting:
-                result = await self.forwarder.forward(route, call, request)
+                result = await self.forward_in_time(route, call, request)
         except asyncio.CancelledError:
             events.emit(events.CANCELLED, request=call.request_id, why="caller disconnected")
             raise
         self.log_result(route, call, arrived, result)
         return result
 
+    async def forward_in_time(
+        self, route: Route, call: Call, request: ForwardedRequest
+    ) -> Answer | Refusal:
+        """Forward a request, and give it up when the entry has to answer."""
+        try:
+            async with self.in_flight.limit():
+                return await self.forwarder.forward(route, call, request)
+        except TimeoutError:
+            return stopped_result(request)
+
     @asynccontextmanager
     async def open_stream(
         self, route: Route, call: Call, arrived: float, take_up: TakeUp | None
@@ -188,7 +198,14 @@
         counting = self.usage.counting(call, request) if self.usage else nullcontext()
         try:
             with counting:
-                async with self.streams.open(call, request, take_up) as result:
+                async with AsyncExitStack() as stack:
+                    opening = self.streams.open(call, request, take_up)
+                    result: RelayedStream | Answer | Refusal
+                    try:
+                        async with self.in_flight.limit():
+                            result = await stack.enter_async_context(opening)
+                    except TimeoutError:
+                        result = stopped_result(request)
                     if isinstance(result, RelayedStream):
                         metrics.FIRST_EVENT_SECONDS.observe(clock.now() - arrived)
                     yield result
@@ -230,7 +247,11 @@
         :param latest: when the caller must be answered, on `clock.now`, in seconds.
         """
         deadline = min(latest, clock.now() + CONTROL_CALL_TIMEOUT_S + wait_s)
-        reply = await self.link.call(request, deadline, ATTEMPT_TIMEOUT_S + wait_s)
+        try:
+            async with self.in_flight.limit():
+                reply = await self.link.call(request, deadline, ATTEMPT_TIMEOUT_S + wait_s)
+        except TimeoutError:
+            reply = unknown(Reason.DRAINING, STOPPING_DETAIL)
         if isinstance(reply, Refusal):
             events.emit(
                 events.REFUSED,
@@ -258,14 +279,15 @@
         return await self.call_control(evolve(request, wait_ms=0), request.job_id)
 
     async def run(
-        self, stop: asyncio.Event, stop_accepting: Callable[[], Awaitable[None]] | None = None
+        self, stop: asyncio.Event, drain: Callable[[float], Awaitable[None]] | None = None
     ) -> None:
         """Follow control and serve until `stop` is set, then finish the requests.
 
         Connections are accepted until the balancer has removed the entry. Control is followed until
         the last request is answered: a caller that keeps its connection may send one until then.
 
-        :param stop_accepting: closes the socket on which the entry accepts connections.
+        :param drain: accepts no more connections and returns once no request is in flight, or at a
+            time on `clock.now`.
         """
         async with (
             TaskGroup() as tasks,
@@ -280,19 +302,19 @@
                 needed.append(tasks.start(self.usage.run()))
             await wait_until_stopped(stop, *needed)
             self.stopping = True
+            left_s = self.settings.stop_s - STOP_MARGIN_S - LAST_ANSWERS_S
+            self.in_flight.finish_by(clock.now() + left_s)
             await asyncio.sleep(BALANCER_REMOVAL_S)
-            if stop_accepting is not None:
-                await stop_accepting()
+            self.is_draining = True
+            if drain is not None:
+                await drain(self.in_flight.answer_by + LAST_ANSWERS_S)
             await self.finish_requests()
 
     async def finish_requests(self) -> None:
-        """Wait until no request is in flight, within the rest of `settings.stop_s`.
-
-        The last counts of usage are sent then.
-        """
-        remaining_s = self.settings.stop_s - BALANCER_REMOVAL_S - STOP_MARGIN_S
-        if not await wait_event(self.idle, remaining_s):
-            events.emit(events.CANCELLED, why="stop time exceeded", active=self.active)
+        """Wait until no request is in flight, then send the last counts of usage."""
+        if not await self.in_flight.wait_until_idle(self.in_flight.answer_by + LAST_ANSWERS_S):
+            why = "stop time exceeded"
+            events.emit(events.CANCELLED, why=why, active=self.in_flight.active)
         if self.usage:
             await self.usage.send_last()
 
@@ -302,3 +324,12 @@
             self.usage.close()
         self.copies.close()
         self.link.close()
+
+
+def stopped_result(request: ForwardedRequest) -> Answer | Refusal:
+    """Return the final answer to a request that is given up because the entry stops."""
+    if request.last_server_error is not None:
+        return request.last_server_error
+    if request.can_have_run:
+        return unknown(Reason.DRAINING, STOPPING_DETAIL)
+    return not_run(Reason.DRAINING, STOPPING_DETAIL, 0.0)
--- a/src/apricotvale/daemons/http_connections.py
+++ b/src/apricotvale/daemons/http_connections.py
@@ -10,7 +10,7 @@
 from attrs import define, field
 
 from apricotvale import clock, events, metrics
-from apricotvale.daemons.delivery import unread_bytes
+from apricotvale.daemons.delivery import received_bytes, unread_bytes
 from apricotvale.daemons.runtime import TaskGroup
 from apricotvale.requests.peer_bounds import (
     CHUNK_OVERHEAD,
@@ -35,6 +35,7 @@
 # Time that the peer of a closed connection has to read the end of its answer.
 CLOSE_TIMEOUT_S = 5.0
 HEAD_END = b"\r\n\r\n"
+WAITING_PHASES = (Phase.FIRST_REQUEST, Phase.NEXT_REQUEST)
 
 HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
 HEAD_TOO_SLOW = b"408 Request Timeout"
@@ -49,11 +50,13 @@
     :param server: the HTTP server, which would otherwise be the protocol factory of the socket.
     :param bounds: bounds that the listeners of a process share.
     :param limits: returns the limits in force.
+    :param is_draining: whether a connection is closed after its current request.
     """
 
     server: web.Server
     bounds: PeerBounds
     limits: Callable[[], ConnectionLimits]
+    is_draining: bool = False
     buffer: memoryview = field(factory=lambda: memoryview(bytearray(READ_BYTES)))
     connections: dict[Any, HttpConnection] = field(factory=dict)
     tasks: TaskGroup = field(factory=TaskGroup)
@@ -89,6 +92,19 @@
             for connection in list(self.connections.values()):
                 connection.check_deadline()
 
+    def close_waiting(self, wait_s: float) -> int:
+        """Close the connections that wait for a request; return how many others are open.
+
+        :param wait_s: time for which a connection must have waited, in seconds; with 0, the
+            beginning of a request does not keep a connection open either.
+        """
+        self.bounds.advance(clock.now())
+        left = 0
+        for connection in list(self.connections.values()):
+            if not connection.is_closing:
+                left += not connection.close_if_waiting(wait_s)
+        return left
+
 
 def ignore(why: str) -> None:
     """Do nothing, as the connection is closed already."""
@@ -280,6 +296,10 @@
             self.begin_closing()
             return
         self.request = None
+        if self.listener.is_draining:
+            self.transport.close()
+            self.begin_closing()
+            return
         self.bounds.release_head(self.state)
         idle_timeout_s = self.listener.limits().idle_timeout_s
         self.bounds.enter(self.state, Phase.NEXT_REQUEST, idle_timeout_s)
@@ -294,6 +314,22 @@
 
     # Ends
 
+    def close_if_waiting(self, wait_s: float) -> bool:
+        """Close the connection if it has waited for a request for some time; return whether.
+
+        Bytes that have arrived and are not read yet are the beginning of a request.
+        """
+        is_waiting = self.state.phase in WAITING_PHASES or (
+            not wait_s and self.state.phase is Phase.HEAD
+        )
+        if not is_waiting or self.bounds.now - self.state.since < wait_s:
+            return False
+        if wait_s and received_bytes(self.transport):
+            return False
+        self.transport.close()
+        self.begin_closing()
+        return True
+
     def check_deadline(self) -> None:
         """End the current phase if its deadline has passed."""
         if self.transport.is_closing():
--- a/src/apricotvale/daemons/http_server.py
+++ b/src/apricotvale/daemons/http_server.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
-from apricotvale import events
+from apricotvale import clock, events
 from apricotvale.daemons.http_connections import READ_BYTES, Listener
 from apricotvale.requests.held_bytes import ByteBudget
 from apricotvale.requests.peer_bounds import ConnectionLimits, PeerBounds, make_bounds
@@ -26,6 +26,10 @@
 BACKLOG = 128
 BACKLOG_SHARE = 1 / 4
 DEFAULT_LIMITS = ConnectionLimits()
+# A connection that has waited for a request for this long is closed by a drain. A new one is likely
+# to bring its first request before.
+DRAINED_WAIT_S = 0.5
+DRAIN_INTERVAL_S = 0.05
 MAX_TRACEBACK_CHARS = 2_000
 
 
@@ -125,6 +129,24 @@
             self.server.close()
             self.server = None
 
+    async def drain(self, deadline: float) -> None:
+        """Stop accepting, close connections that wait for a request, and wait for the others.
+
+        Without this, callers that use their connections again keep a stopping process at work until
+        its end, which cuts off the last requests. When it returns, no further request is read.
+
+        :param deadline: when requests are waited for no longer, on `clock.now`.
+        """
+        await self.stop_accepting()
+        if self.listener is None:
+            return
+        self.listener.is_draining = True
+        while self.listener.close_waiting(DRAINED_WAIT_S) and clock.now() < deadline:
+            await asyncio.sleep(DRAIN_INTERVAL_S)
+        left = self.listener.close_waiting(0.0)
+        if left:
+            events.emit(events.CANCELLED, why="drain deadline exceeded", active=left)
+
     async def __aexit__(self, *exc_info: object) -> None:
         await self.stop_accepting()
         await self.runner.cleanup()
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -61,7 +61,7 @@
         if self.entry.held.limit:
             # Without a known memory nothing is counted.
             sending = delivery.Delivery(
-                self.entry.held, names.REQUEST_ID, self.entry.count_in_flight
+                self.entry.held, names.REQUEST_ID, self.entry.in_flight.count
             )
             app.middlewares.append(sending.hold_bytes)
         app.router.add_get(names.RESULTS_PATH, self.on_results)
@@ -115,7 +115,7 @@
         """Forward a request by its route, or accept a job."""
         arrived = clock.now()
         request_id = request.headers.get(names.REQUEST_ID, "")
-        with self.entry.count_in_flight():
+        with self.entry.in_flight.count():
             await self.entry.wait_for_table()
             table = self.entry.current_table()
             if isinstance(table, Refusal):
@@ -132,6 +132,10 @@
                 events.emit(events.INPUT_REJECTED, request=ascii(request_id), error=detail)
                 return refusal_response(not_run(Reason.BAD_REQUEST, detail), "")
             deadline = request_deadline(request, route, arrived)
+            refusal = self.entry.refuse_late(deadline)
+            if refusal is not None:
+                events.emit(events.REFUSED, request=request_id, reason=refusal.reason)
+                return refusal_response(refusal, request_id)
             body = await read_body(request, self.entry.limits, deadline)
             if isinstance(body, Refusal):
                 if body.reason is not Reason.OVERLOADED:
@@ -221,7 +225,7 @@
     async def on_results(self, request: web.Request) -> web.Response:
         """Return a job's results after a position, waiting for new ones up to `Wait-Ms`."""
         job_id = request.match_info["id"]
-        with self.entry.count_in_flight():
+        with self.entry.in_flight.count():
             return await self.read_results(request, job_id)
 
     async def read_results(self, request: web.Request, job_id: str) -> web.Response:
@@ -261,7 +265,7 @@
     async def on_item(self, request: web.Request) -> web.Response:
         """Return the request body of an item that has no result yet."""
         job_id = request.match_info["id"]
-        with self.entry.count_in_flight():
+        with self.entry.in_flight.count():
             customer = await self.find_reader(request, job_id)
             if isinstance(customer, Refusal):
                 return refusal_response(customer, job_id)
@@ -274,7 +278,7 @@
     async def on_end_job(self, request: web.Request) -> web.Response:
         """End a job."""
         job_id = request.match_info["id"]
-        with self.entry.count_in_flight():
+        with self.entry.in_flight.count():
             customer = await self.find_reader(request, job_id)
             if isinstance(customer, Refusal):
                 return refusal_response(customer, job_id)
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -46,7 +46,7 @@
         events.emit(events.STARTED, listen=settings.requests)
         metrics.record_start()
         install_reload_handler(lambda: reload(entry.apply_settings))
-        await entry.run(stop, server.stop_accepting)
+        await entry.run(stop, server.drain)
         entry.close()
     events.emit(events.STOPPED)
 
--- a/src/apricotvale/platform/streaming.py
+++ b/src/apricotvale/platform/streaming.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from aiohttp import web
 
-from apricotvale import clock, events
+from apricotvale import events
 from apricotvale.daemons import delivery
 from apricotvale.daemons.fleet_entry import FleetEntry
 from apricotvale.daemons.stream_relay import RelayedStream
@@ -58,7 +56,7 @@
         for name, value in result.headers:
             response.headers.add(name, value)
         try:
-            async with asyncio.timeout(max(0.0, call.deadline - clock.now())):
+            async with entry.in_flight.limit(call.deadline):
                 with delivery.sending_stream(request) as count_chunk:
                     await response.prepare(request)
                     async for chunk in result.chunks():
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -25,6 +25,8 @@
 # Keeps an entry running for longer than the requests on the kept connections take.
 LONG_REQUEST_S = 5.0
 KEPT_CONNECTIONS = 8
+# What requests take at their upstream that come while an entry stops.
+LATE_REQUEST_S = 2.0
 
 
 @pytest.fixture
@@ -63,7 +65,13 @@
 
 
 @pytest.fixture
-async def entry(site, monkeypatch):
+def stop_s():
+    """The time limit of a stop."""
+    return DEADLINE_MS / 1000
+
+
+@pytest.fixture
+async def entry(site, monkeypatch, stop_s):
     monkeypatch.setattr(fleet_entry, "BALANCER_REMOVAL_S", BALANCER_REMOVAL_S)
     entry = StoppingProcess(free_address(), free_address())
     settings = FleetSettings(
@@ -74,7 +82,7 @@
         internal_port=site.entry.settings.internal_port,
         requests=entry.address,
         readiness=entry.readiness,
-        stop_s=DEADLINE_MS / 1000,
+        stop_s=stop_s,
     )
     entry.task = asyncio.create_task(
         start.run_entry(settings, start.process_bounds(settings), entry.stop)
@@ -161,7 +169,8 @@
 async def test_a_stopping_entry_follows_control_until_its_requests_are_answered(site, entry):
     """Guards against requests on kept connections that an old table handles.
 
-    A request that takes long keeps the entry running after the balancer has removed it.
+    Requests that have begun, and one that takes long, keep the entry running after the balancer has
+    removed it.
     """
     outcomes = Counter()
     host, port = entry.address.split(":")
@@ -174,14 +183,17 @@
     for desk in site.desks:
         desk.behaviour = "good"
     entry.stop.set()
-    await asyncio.sleep(BALANCER_REMOVAL_S + 0.2)
+    await asyncio.sleep(BALANCER_REMOVAL_S - 0.2)
+    for _, writer in kept:
+        writer.write(b"POST /new/1 HTTP/1.1\r\n")
+    await asyncio.sleep(0.4)
     document = table(3)
     document["routes"].append({**document["routes"][0], "name": "new", "path_prefix": "/new/"})
     await site.put_table_until_accepted(document)
     statuses = []
     for reader, writer in kept:
-        head = f"POST /new/1 HTTP/1.1\r\nHost: {HOST}\r\n{names.REQUEST_ID}: new\r\n"
-        writer.write(f"{head}{names.DEADLINE_MS}: 1500\r\nContent-Length: 1\r\n\r\nx".encode())
+        fields = f"Host: {HOST}\r\n{names.REQUEST_ID}: new\r\n"
+        writer.write(f"{fields}{names.DEADLINE_MS}: 1500\r\nContent-Length: 1\r\n\r\nx".encode())
         statuses.append((await read_answer(reader))[0])
         writer.close()
         if statuses[-1] == 200:
@@ -284,3 +296,95 @@
     assert outcomes["cut"] == outcomes["TimeoutError"] == 0
     assert outcomes[200] + outcomes[503] == len(read_requests)
     assert set(outcomes) <= {200, 503, "closed", "ConnectionResetError", "BrokenPipeError"}
+
+
+async def open_idle_connections(site, entry, count):
+    """Return connections that have been used once and are kept open."""
+    connections = []
+    host, port = entry.address.split(":")
+    for number in range(count):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(request_head(f"first-{number}", 1_000))
+        assert (await asyncio.wait_for(read_answer(reader), 5.0)) == (200, True)
+        connections.append((reader, writer))
+    return connections
+
+
+def request_head(request_id, deadline_ms):
+    return (
+        f"POST /fees/{request_id} HTTP/1.1\r\nHost: {HOST}\r\n{names.REQUEST_ID}: {request_id}\r\n"
+        f"{names.DEADLINE_MS}: {deadline_ms}\r\nContent-Length: 1\r\n\r\nx"
+    ).encode()
+
+
+async def send_when_due(connection, request_id, deadline_ms, delay_s, stop_s):
+    """Send a request after a delay; return its status, or "closed" if there is no connection.
+
+    :param stop_s: time after which the process would be killed.
+    """
+    killed_at = asyncio.get_running_loop().time() + stop_s
+    reader, writer = connection
+    await asyncio.sleep(delay_s)
+    if reader.at_eof():
+        return "closed"
+    writer.write(request_head(request_id, deadline_ms))
+    try:
+        async with asyncio.timeout_at(killed_at):
+            return (await read_answer(reader))[0]
+    except (OSError, asyncio.IncompleteReadError, TimeoutError):
+        return "cut"
+    finally:
+        writer.close()
+
+
+def requests_passed_on(site):
+    return {request.headers.get("request-id") for desk in site.desks for request in desk.requests}
+
+
+@pytest.mark.parametrize("stop_s", [6.0])
+async def test_a_request_late_in_a_stop_is_not_passed_on_and_cut_off(site, entry, stop_s):
+    """Guards against requests on idle connections that are cut off when a stopping entry ends."""
+    connections = await open_idle_connections(site, entry, 60)
+    for desk in site.desks:
+        desk.behaviour, desk.slow_s = "slow", LATE_REQUEST_S
+    entry.stop.set()
+    delays = [0.1 * number for number in range(len(connections))]
+    outcomes = await asyncio.gather(
+        *(
+            send_when_due(connection, f"late-{number}", 3_000, delay_s, stop_s)
+            for number, (connection, delay_s) in enumerate(zip(connections, delays, strict=True))
+        )
+    )
+    passed_on = requests_passed_on(site)
+    cut = [f"late-{n}" for n, outcome in enumerate(outcomes) if outcome == "cut"]
+    assert not passed_on & set(cut), Counter(outcomes)
+    # Connections are closed while they are idle, once the balancer has removed the entry.
+    assert outcomes[0] == 200 and outcomes[-1] == "closed", outcomes
+
+
+@pytest.mark.parametrize("stop_s", [4.0])
+async def test_a_request_that_outlasts_the_stop_gets_a_final_answer(site, entry, stop_s):
+    """Guards against requests whose connection is cut when a stopping entry ends."""
+    connections = await open_idle_connections(site, entry, 4)
+    for desk in site.desks:
+        desk.behaviour, desk.slow_s = "slow", 2 * DEADLINE_MS / 1000
+    callers = [
+        asyncio.create_task(send_when_due(connection, f"long-{number}", DEADLINE_MS, 0.0, stop_s))
+        for number, connection in enumerate(connections)
+    ]
+    entry.stop.set()
+    assert await asyncio.gather(*callers) == [502] * len(callers)
+
+
+@pytest.mark.parametrize("stop_s", [6.0])
+async def test_a_stopping_entry_refuses_what_would_outlast_it(site, entry):
+    """Guards against requests that are passed on although the entry ends before them."""
+    (reader, writer), *_ = await open_idle_connections(site, entry, 1)
+    head = request_head("late", DEADLINE_MS)
+    writer.write(head[:-20])
+    entry.stop.set()
+    await asyncio.sleep(BALANCER_REMOVAL_S + 0.5)
+    writer.write(head[-20:])
+    assert await asyncio.wait_for(read_answer(reader), 1.0) == (503, False)
+    writer.close()
+    assert "late" not in requests_passed_on(site)
