Let a stopping control replica finish the calls that it has read

Callers saw (in a test): a call that takes 2.5 s, less than a change of the configuration may take, ends without an answer one second after the replica was told to stop.

Cause: the replica left its group, and then the HTTP server gave its calls one second. New calls were read meanwhile.

Change: after it has handed over, the replica accepts no more connections, closes the idle ones, and serves its calls until they are answered or its stop time ends; then it leaves.

Evidence: the new test got no answer before, and 200 now.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -23,6 +23,7 @@
 from apricotvale.daemons.crash_guard import CrashGuard
 from apricotvale.daemons.duty_holder import DutyHolder
 from apricotvale.daemons.forwarder import Forwarder
+from apricotvale.daemons.in_flight import STOP_MARGIN_S
 from apricotvale.daemons.job_runner import SAVE_INTERVAL_S, JobRunner
 from apricotvale.daemons.leader_client import LeaderClient
 from apricotvale.daemons.leaving import LeavingReporter
@@ -191,8 +192,14 @@
 
     # Life cycle
 
-    async def run(self, stop: asyncio.Event) -> None:
-        """Serve until `stop` is set, then transfer leadership and shut down."""
+    async def run(
+        self, stop: asyncio.Event, drain: Callable[[float], Awaitable[None]] | None = None
+    ) -> None:
+        """Serve until `stop` is set, then transfer leadership and shut down.
+
+        :param drain: accepts no more connections and returns once no request is in flight, or at a
+            time on `clock.now`. The replica serves its requests until then.
+        """
         service = ControlService(self.on_call, self.replica.receive_batch, FLEET)
         server = make_server(service)
         await server.start(self.settings.ip, self.settings.internal_port)
@@ -211,7 +218,10 @@
             events.emit(events.STARTED, listen=self.settings.internal_address)
             metrics.record_start()
             await wait_until_stopped(stop, *needed)
+            stop_by = clock.now() + self.settings.stop_s - STOP_MARGIN_S
             await self.transfer_leadership()
+            if drain is not None:
+                await drain(stop_by)
             server.close()
         self.leader_client.close()
         self.disk.release()
--- a/src/apricotvale/platform/start.py
+++ b/src/apricotvale/platform/start.py
@@ -68,7 +68,7 @@
         server = HttpServer(app, settings.interface, bounds=bounds)
         await stack.enter_async_context(server)
         install_reload_handler(lambda: reload(control.apply_settings))
-        await control.run(stop)
+        await control.run(stop, server.drain)
 
 
 def reload(apply_settings: Callable[[FleetSettings], None]) -> None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -27,6 +27,8 @@
 KEPT_CONNECTIONS = 8
 # What requests take at their upstream that come while an entry stops.
 LATE_REQUEST_S = 2.0
+# What a call to control takes when a stop comes; less than a change of the configuration may.
+SLOW_CALL_S = 2.5
 
 
 @pytest.fixture
@@ -388,3 +390,39 @@
     assert await asyncio.wait_for(read_answer(reader), 1.0) == (503, False)
     writer.close()
     assert "late" not in requests_passed_on(site)
+
+
+@define
+class SlowReads:
+    """How long control replicas take to read the configuration, and whether one has begun."""
+
+    delay_s: float = 0.0
+    begun: asyncio.Event = field(factory=asyncio.Event)
+
+
+@pytest.fixture
+def slow_reads(monkeypatch):
+    """Delays the reads of the configuration of replicas that are started afterwards."""
+    slow = SlowReads()
+    handle = ControlInterface.on_get_config
+
+    async def on_get_config(self, request):
+        if slow.delay_s:
+            slow.begun.set()
+            await asyncio.sleep(slow.delay_s)
+        return await handle(self, request)
+
+    monkeypatch.setattr(ControlInterface, "on_get_config", on_get_config)
+    return slow
+
+
+async def test_a_control_replica_finishes_the_calls_that_it_works_on(site, slow_reads, replica):
+    """Guards against calls of operators that are cut off after one second of a planned stop."""
+    slow_reads.delay_s = SLOW_CALL_S
+    outcomes = Counter()
+    caller = asyncio.create_task(read_config_until_closed(replica, outcomes))
+    await asyncio.wait_for(slow_reads.begun.wait(), READY_TIMEOUT_S)
+    replica.stop.set()
+    await caller
+    # The replica closes the connection after the answer.
+    assert outcomes == {200: 1, "closed": 1}
