Let the product's own entry drain its connections as platform entries do

Callers saw (in tests): a request on a connection that was kept since before the stop gets no answer, or is cut off one second after limits.drain_ms.

Cause: the entry waited until no request is in flight, and went on to serve idle connections meanwhile; what was in flight at the end got no answer.

Change: after the entry has left the roster, idle connections are closed and requests that have begun are refused as draining. At the end of drain_ms a request gets 502 with an unknown outcome; an answer that has begun breaks off. Answers during a drain close their connection.

Ruled out: sidecars; they refuse what comes during a drain.

Evidence: two new tests failed before (no answer, a closed connection) and pass now.

--- a/src/apricotvale/daemons/entry.py
+++ b/src/apricotvale/daemons/entry.py
@@ -22,13 +22,9 @@
 from apricotvale.daemons.crash_guard import CrashGuard
 from apricotvale.daemons.dispatch import Dispatcher, MemberAnswer
 from apricotvale.daemons.http_server import HttpServer
+from apricotvale.daemons.in_flight import InFlight
 from apricotvale.daemons.link import ControlClient, ControlLink
-from apricotvale.daemons.runtime import (
-    TaskGroup,
-    health_routes,
-    wait_event,
-    wait_until_stopped,
-)
+from apricotvale.daemons.runtime import TaskGroup, health_routes, wait_until_stopped
 from apricotvale.daemons.steps import StepRunner
 from apricotvale.daemons.streams import STREAM_END
 from apricotvale.daemons.supervision import Supervision
@@ -52,11 +48,16 @@
 )
 
 REQUEST_ID = web.RequestKey("request_id", str)
+# Whether the head of the answer has been sent.
+IS_ANSWERED = web.RequestKey("is_answered", bool)
 PAYLOAD_STORE_BYTES = 256 * 1024 * 1024
 MAX_TOKENS = 1_000_000
 DEFAULT_MAX_TOKENS = 16
 STEP_OWNERSHIP_TIMEOUT_S = 3.0
 SCORE_TIMEOUT_S = 5.0
+# Time for sending the answers to requests that are given up.
+LAST_ANSWERS_S = 0.2
+STOPPING_DETAIL = "the entry stops"
 AFFINITY_PREFIX_CHARS = 256
 
 
@@ -108,9 +109,9 @@
         self.deployment: Deployment | None = None
         self.revision = 0
         self.draining = False
-        self.active = 0
-        self.idle = asyncio.Event()
-        self.idle.set()
+        # Whether the entry has left the roster, so that it accepts no more work.
+        self.has_left = False
+        self.in_flight = InFlight()
         self.tasks = TaskGroup()
 
     # Lifecycle
@@ -129,20 +130,16 @@
                 stop, sync_task, self.tasks.start(self.upstreams.run_heartbeats())
             )
             self.draining = True
+            drain_ms = self.deployment.limits.drain_ms if self.deployment else 0
+            self.in_flight.finish_by(clock.now() + drain_ms / 1000)
             sync_task.cancel()
             await self.link.leave()
-            await server.stop_accepting()
-            await self.finish_requests()
+            self.has_left = True
+            await server.drain(self.in_flight.answer_by + LAST_ANSWERS_S)
         self.link.close()
         self.control.close()
         events.emit(events.STOPPED)
 
-    async def finish_requests(self) -> None:
-        """Wait until no request is in flight, at most `limits.drain_ms`."""
-        drain_ms = self.deployment.limits.drain_ms if self.deployment else 0
-        if not await wait_event(self.idle, drain_ms / 1000):
-            events.emit(events.CANCELLED, why="drain deadline exceeded", active=self.active)
-
     def make_app(self) -> web.Application:
         """Return the HTTP application with the health, caller and trainer routes."""
         app = web.Application(client_max_size=64 * 1024 * 1024, middlewares=[self.middleware])
@@ -155,8 +152,16 @@
             ]
         )
         app.add_routes(trainer_routes(self))
+        app.on_response_prepare.append(self.on_answer)
         return app
 
+    async def on_answer(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Note that an answer begins; while the entry stops, its connection is closed after it."""
+        request[IS_ANSWERED] = True
+        if self.draining:
+            response.headers["Connection"] = "close"
+            response.force_close()
+
     def is_ready(self) -> bool:
         """Return whether a confirmed configuration is in force and the entry is not draining."""
         return self.deployment is not None and not self.draining
@@ -262,11 +267,10 @@
             if h.IDEMPOTENCY_KEY in request.headers:
                 refusal = evolve(refusal, ran=Ran.UNKNOWN)
             return self.refuse(request, refusal)
-        self.active += 1
-        self.idle.clear()
         started = time.monotonic()
         try:
-            return await handler(request)
+            with self.in_flight.count():
+                return await self.handle_in_time(request, handler)
         except web.HTTPException as error:
             return self.refuse(request, http_refusal(error))
         except BadInputError as error:
@@ -276,9 +280,24 @@
             raise
         finally:
             self.metrics.timing(metrics.REQUEST_MS, (time.monotonic() - started) * 1000)
-            self.active -= 1
-            if not self.active:
-                self.idle.set()
+
+    async def handle_in_time(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        """Handle a request; answer that its outcome is unknown if the entry stops before its end.
+
+        An answer that has begun breaks off, so that it cannot be taken for a whole one.
+        """
+        try:
+            async with self.in_flight.limit():
+                return await handler(request)
+        except TimeoutError:
+            if clock.now() < self.in_flight.answer_by:
+                raise
+            events.emit(events.CANCELLED, request=request[REQUEST_ID], why=STOPPING_DETAIL)
+            if not request.get(IS_ANSWERED):
+                return self.refuse(request, unknown(Reason.OUTCOME_UNKNOWN, STOPPING_DETAIL))
+            if request.transport is not None:
+                request.transport.abort()
+            raise
 
     def request_id(self, request: web.Request) -> str:
         """Return the id of a request: the caller's `X-Request-Id`, or a generated one."""
@@ -286,6 +305,8 @@
 
     def check_available(self) -> Refusal | None:
         """Return a refusal if the entry cannot serve, otherwise None."""
+        if self.has_left:
+            return not_run(Reason.DRAINING, STOPPING_DETAIL, 0.0)
         if self.deployment is None:
             return not_run(
                 Reason.NOT_READY, "no confirmed configuration received from control", 1.0
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -7,10 +7,13 @@
 
 import aiohttp
 import pytest
+from attrs import evolve
 
 from apricotvale.standins.engine import completion_text
 from tests.site import Site
 
+READ_REQUEST = b"GET /services/desk/read HTTP/1.1\r\nHost: h\r\n\r\n"
+
 
 @pytest.fixture
 async def site(tmp_path):
@@ -181,6 +184,51 @@
     assert "entry-1" not in site.control_state().roster.state.members
 
 
+async def open_kept_connection(entry):
+    """Return a connection to an entry on which one request was answered."""
+    host, port = entry.settings.listen.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(READ_REQUEST)
+    assert await read_status(reader) == 200
+    return reader, writer
+
+
+async def read_status(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+    length = next(line for line in head.split("\r\n") if line.startswith("content-length"))
+    await reader.readexactly(int(length.split(":")[1]))
+    return int(head.split()[1])
+
+
+async def test_a_stopping_entry_closes_idle_connections_and_refuses_begun_requests(site):
+    """Guards against requests on kept connections that are cut off when a stopping entry ends."""
+    idle, _ = await open_kept_connection(site.entry)
+    begun, begun_writer = await open_kept_connection(site.entry)
+    begun_writer.write(READ_REQUEST[:20])
+    call = asyncio.create_task(site.complete("p", 200))
+    await site.wait(lambda: any(engine.batch for engine in site.engines))
+    stop, task = site.daemons[-1]
+    stop.set()
+    assert await asyncio.wait_for(idle.read(), 2.0) == b""
+    begun_writer.write(READ_REQUEST[20:])
+    assert await asyncio.wait_for(read_status(begun), 2.0) == 503
+    assert (await call)[0] == 200
+    await task
+
+
+async def test_a_request_that_outlasts_the_drain_of_an_entry_gets_a_final_answer(site):
+    """Guards against requests whose connection is cut when a stopping entry ends."""
+    limits = evolve(site.entry.deployment.limits, drain_ms=300)
+    site.entry.deployment = evolve(site.entry.deployment, limits=limits)
+    call = asyncio.create_task(site.complete("p", 2_000))
+    await site.wait(lambda: any(engine.batch for engine in site.engines))
+    stop, task = site.daemons[-1]
+    stop.set()
+    status, problem = await call
+    assert (status, problem["ran"]) == (502, "unknown")
+    await task
+
+
 async def test_samples_are_preempted_by_interactive_requests_and_resume(site):
     async with site.trainer() as trainer:
         await trainer.open_step(1, [f"p{i}" for i in range(8)], max_tokens=200)
