Take a document that cannot be parsed for no answer in the trainers' client and in drain

A trainer's call, or the command drain, ended with the JSON parser's error when an entry or a sidecar answered with other bytes. Found by reading all readers of answers.

Cause: only errors of the HTTP library were caught.

Change: the trainers' client goes on with the next entry, and drain says that the sidecar cannot be reached.

Evidence: the new test failed before with JSONDecodeError.

--- a/src/apricotvale/cli/operate.py
+++ b/src/apricotvale/cli/operate.py
@@ -74,7 +74,7 @@
             session.post(url) as response,
         ):
             return await response.json()
-    except (aiohttp.ClientError, TimeoutError) as error:
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
         raise UnreachableError(repr(error)) from error
 
 
--- a/src/apricotvale/client.py
+++ b/src/apricotvale/client.py
@@ -127,7 +127,8 @@
             except RejectedError as error:
                 if error.problem.get("title", "").replace(" ", "_") not in RETRYABLE_REASONS:
                     raise
-            except (aiohttp.ClientError, TimeoutError, ConnectionError):
+            except (aiohttp.ClientError, TimeoutError, ConnectionError, ValueError):
+                # A document that cannot be parsed is no answer either.
                 pass
             self.entry_index += 1
             await asyncio.sleep(RETRY_DELAY_S)
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -363,3 +363,15 @@
         with pytest.raises(AnswerSyntaxError):
             feed_all(data, size, single_fields=SINGLE_FIELDS)
             raise AssertionError(name)
+
+
+async def test_a_document_that_cannot_be_parsed_is_no_answer():
+    """Guards against trainers and commands that end with the error of a parser."""
+    data = whole().replace(REPORT, b"<" * len(REPORT))
+    async with RawUpstream(sending(data, False)) as upstream:
+        address = upstream.upstream.address
+        with pytest.raises(UnreachableError):
+            await post_empty(f"http://{address}/drain")
+        async with TrainerClient("t", [f"http://{address}"], patience_s=0.3) as trainer:
+            with pytest.raises(UnreachableError):
+                await trainer.publish(2)
