Refuse jobs whose items cannot be sent, and blame no upstream for them

Cause: the ids of items and reward calls become header fields, but were not checked. The HTTP library refuses the line break before it writes anything; the client took that error for a garbled answer, and the runner excluded the engine for up to 2 s, longer with each item.

Ruled out: slots taken by these items; none of their requests reaches an engine.

Change: such a job, and a heartbeat with such an id, is refused with 400. A request that HTTP cannot express is not run, and held against no upstream.

--- a/src/apricotvale/daemons/item_run.py
+++ b/src/apricotvale/daemons/item_run.py
@@ -30,6 +30,7 @@
     :param software: software versions of the engines that generated the output, for the log.
     :param generated_s: time for which engines have generated the output.
     :param waits_until: until when the output waits for an engine of its origin.
+    :param is_unsendable: whether the item's request cannot be sent to any engine.
     """
 
     job: Job
@@ -48,6 +49,7 @@
     software: list[str] = field(factory=list)
     generated_s: float = 0.0
     waits_until: float = float("-inf")
+    is_unsendable: bool = False
     task: asyncio.Task[None] | None = None
 
     def origin_wait_s(self) -> float:
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -46,7 +46,11 @@
 # A run without an event for this long is resumed on another engine. A weight load pauses the runs
 # that continue across it for about 1 s, which must not count as a stall.
 STALL_TIMEOUT_S = 2.5
+# How often it is looked up when an item may be abandoned: the table may change meanwhile.
+ABANDON_CHECK_S = 1.0
 REWARD_RETRY_S = 0.2
+# A reward call that is refused for these will not be answered before its item may be abandoned.
+HOPELESS_REASONS = (Reason.CRASHES_UPSTREAMS, Reason.BAD_REQUEST)
 # Age from which a run's partial output is saved, so that a new leader can resume it. Most items
 # finish earlier; the longest items, which take most of a step's time, are the ones worth saving.
 SAVE_MIN_AGE_S = 1.0
@@ -480,6 +484,8 @@
                 usage.end(demand_of(run.job, run.item))
                 run.engine = None
                 run.generated_s += clock.now() - run.started_at
+            if run.is_unsendable:
+                state = await self.abandon(run)
             if state is ItemState.COMPLETED and run.item.reward is not None:
                 score = await self.score(run, run.item.reward)
                 state = ItemState.COMPLETED if score else ItemState.FAILED
@@ -526,6 +532,7 @@
                 if isinstance(stream, Answer):
                     return self.handle_error_answer(route, run, engine, usage, stream)
                 if isinstance(stream, Refusal):
+                    run.is_unsendable = stream.reason is Reason.BAD_REQUEST
                     why = f"{stream.reason}: {stream.detail}"
                 elif not stream.version:
                     if await self.was_complete(run, stream):
@@ -565,7 +572,8 @@
                     return None
         except (TruncatedStreamError, TimeoutError, ValueError) as error:
             why = repr(error)
-        usage.fail(clock.now())
+        if not run.is_unsendable:
+            usage.fail(clock.now())
         metrics.ITEMS_TOTAL.labels("cut").inc()
         events.emit(
             events.ITEM_CUT,
@@ -692,8 +700,8 @@
     async def score(self, run: ItemRun, reward: RewardCall) -> str:
         """Return the signature of the reward call's answer, empty if there will be none.
 
-        The call failed too often, or it ends the upstreams that run it and the item may be
-        abandoned.
+        The call failed too often, or it ends the upstreams that run it or cannot be sent, and the
+        item may be abandoned.
         """
         while True:
             answer: Answer | Refusal | None = None
@@ -715,13 +723,19 @@
                 if run.reward_errors >= route.max_attempts:
                     return ""
             retry_at = clock.now() + self.reward_retry_s(answer)
-            if isinstance(answer, Refusal) and answer.reason is Reason.CRASHES_UPSTREAMS:
+            if isinstance(answer, Refusal) and answer.reason in HOPELESS_REASONS:
                 abandon_at = self.abandon_at(run.job)
                 if abandon_at <= clock.now():
                     return ""
                 retry_at = min(retry_at, abandon_at)
             await asyncio.sleep(retry_at - clock.now())
 
+    async def abandon(self, run: ItemRun) -> ItemState:
+        """Wait until an item may be abandoned, without a slot at an engine."""
+        while (left_s := self.abandon_at(run.job) - clock.now()) > 0:
+            await asyncio.sleep(min(left_s, ABANDON_CHECK_S))
+        return ItemState.FAILED
+
     def abandon_at(self, job: Job) -> float:
         """Return when the items of a job may be abandoned, on `clock.now`."""
         route = self.table.match(job.host, job.path) if self.table else None
--- a/src/apricotvale/platform/client.py
+++ b/src/apricotvale/platform/client.py
@@ -37,6 +37,7 @@
     UpstreamResponse,
     make_session,
 )
+from apricotvale.platform.wire import FIELD_NAME, FIELD_VALUE, TARGET
 from apricotvale.requests.calls import Answer, Call, RunRequest
 from apricotvale.requests.held_bytes import ByteBudget
 from apricotvale.weights.messages import EngineReport, LoadOrder, OrderOutcome
@@ -91,6 +92,7 @@
             return not_run(Reason.DEADLINE_EXPIRED)
         response = None
         result: Answer | Refusal
+        headers = call_headers(upstream, call, left_s)
         try:
             async with (
                 asyncio.timeout(left_s),
@@ -98,13 +100,13 @@
                     call.method,
                     target_url(upstream, call.target),
                     data=call.body or None,
-                    headers=call_headers(upstream, call, left_s),
+                    headers=headers,
                     allow_redirects=False,
                 ) as response,
             ):
                 result = await read_answer(response, call.request_id, self.held)
         except (aiohttp.ClientError, OSError, ValueError, OversizedAnswerError) as error:
-            result = refusal_from_error(error)
+            result = unsendable(headers, call.target) or refusal_from_error(error)
         return with_statements(result, response, call.request_id)
 
     async def open_stream(
@@ -119,13 +121,14 @@
             return not_run(Reason.DEADLINE_EXPIRED)
         response = None
         result: PlatformStream | Answer | Refusal | None = None
+        headers = call_headers(upstream, call, left_s)
         try:
             async with asyncio.timeout(left_s):
                 response = await self.session.request(
                     call.method,
                     target_url(upstream, call.target),
                     data=call.body or None,
-                    headers=call_headers(upstream, call, left_s),
+                    headers=headers,
                     allow_redirects=False,
                 )
                 if is_stream(response, call.request_id):
@@ -136,7 +139,7 @@
                 else:
                     result = await read_answer(response, call.request_id, self.held)
         except (aiohttp.ClientError, OSError, ValueError, OversizedAnswerError) as error:
-            result = refusal_from_error(error)
+            result = unsendable(headers, call.target) or refusal_from_error(error)
         finally:
             if response is not None and not isinstance(result, PlatformStream):
                 response.close()
@@ -217,7 +220,7 @@
                             response, request.request_id, self.held, MAX_STATUS_BYTES
                         )
             except (aiohttp.ClientError, OSError, ValueError, OversizedAnswerError) as error:
-                result = refusal_from_error(error)
+                result = unsendable(headers.items(), request.target) or refusal_from_error(error)
             if not isinstance(result, PlatformRun):
                 result = with_statements(result, response, request.request_id)
             yield result
@@ -352,6 +355,20 @@
     ]
 
 
+def unsendable(headers: Iterable[tuple[str, str]], target: str) -> Refusal | None:
+    """Return the refusal of a request that HTTP cannot express, None if it can be sent.
+
+    The HTTP library raises an error for it before it writes anything.
+    """
+    for name, value in headers:
+        if not FIELD_NAME.fullmatch(name) or not FIELD_VALUE.fullmatch(value):
+            detail = f"the header field {ascii(name)} of the request cannot be sent"
+            return not_run(Reason.BAD_REQUEST, detail)
+    if not TARGET.fullmatch(target):
+        return not_run(Reason.BAD_REQUEST, "the target of the request cannot be sent")
+    return None
+
+
 def with_customer(
     headers: Iterable[tuple[str, str]], customer: str | None
 ) -> list[tuple[str, str]]:
--- a/src/apricotvale/platform/wire.py
+++ b/src/apricotvale/platform/wire.py
@@ -240,7 +240,7 @@
     standing = STANDING_BY_NAME.get(typed_field(document, "state", str))
     if standing is None:
         raise BadInputError(f"unknown upstream state {excerpt(document['state'])}")
-    check_text("id", upstream_id)
+    check_id(check_text("id", upstream_id))
     return Upstream(
         upstream_id,
         # Upstreams of some deployments omit the start time; those get a new id at each start.
@@ -370,7 +370,7 @@
         check_header(name, value)
     scorer = typed_field(entry, "scorer", dict, None)
     return Item(
-        typed_field(entry, "id", str),
+        check_id(typed_field(entry, "id", str)),
         check_target(typed_field(entry, "path", str)),
         headers,
         decode_base64(typed_field(entry, "body", str, "")),
@@ -392,6 +392,20 @@
         raise BadInputError(f"header field {excerpt(name)} of an item has an invalid name or value")
 
 
+def check_id(text: str) -> str:
+    """Return the id of a request after checking that an upstream can send it back unchanged."""
+    if not text or text != text.strip() or not FIELD_VALUE.fullmatch(text):
+        raise BadInputError(f"{excerpt(text)} is not the id of a request")
+    return text
+
+
+def check_host(text: str) -> str:
+    """Return a host after checking that it can be sent in a header field."""
+    if text != text.strip() or not FIELD_VALUE.fullmatch(text):
+        raise BadInputError(f"{excerpt(text)} is not the host of a request")
+    return text
+
+
 def check_target(path: str) -> str:
     """Return the target of a request after checking that it fits on a request line."""
     if not TARGET.fullmatch(path):
@@ -420,8 +434,8 @@
 def parse_scorer(entry: dict[str, Any]) -> RewardCall:
     """Decode the reward call of an item."""
     return RewardCall(
-        typed_field(entry, "id", str),
-        typed_field(entry, "hostname", str),
+        check_id(typed_field(entry, "id", str)),
+        check_host(typed_field(entry, "hostname", str)),
         check_target(typed_field(entry, "path", str)),
         decode_base64(typed_field(entry, "body", str, "")),
     )
