Drop the bodies of a job with its last result

Cause: a job kept the bodies, header fields and reward calls of its items until it was ended or forgotten, 150 s after its acceptance. Only open items counted towards job_mb: of three bodies of 1 MiB, three bytes were counted after the last result, and all three were held.

Change: with the last result of a job what only its runs need is dropped, as at its end. Nobody can read a body whose item has a result.

--- a/src/apricotvale/jobs/store.py
+++ b/src/apricotvale/jobs/store.py
@@ -90,6 +90,8 @@
         self.finished_items[job_id].add(result.item_id)
         if record.progress.pop(result.item_id, None) is not None:
             self.changed.add(job_id)
+        if len(self.finished_items[job_id]) == len(record.job.items):
+            self.drop_inputs(record)
         return True
 
     def save_progress(self, job_id: str, progress: Progress) -> bool:
@@ -115,13 +117,21 @@
         if record is None:
             return False
         if not record.ended:
-            items = (evolve(item, headers={}, body=b"", reward=None) for item in record.job.items)
-            record.job = evolve(record.job, items=tuple(items))
+            self.drop_inputs(record)
             record.ended = True
             record.progress.clear()
             self.changed.add(job_id)
         return True
 
+    def drop_inputs(self, record: JobRecord) -> None:
+        """Drop what only the runs of a job's items need, once none of them runs any more.
+
+        A job may stay for long after its last result, as its caller need not end it.
+        """
+        items = (evolve(item, headers={}, body=b"", reward=None) for item in record.job.items)
+        record.job = evolve(record.job, items=tuple(items))
+        self.changed.add(record.job.job_id)
+
     def forget(self, job_id: str) -> bool:
         """Delete a job whose retention period has passed; return whether it was known."""
         self.news.add(job_id)
