Bound the open items of all jobs, and what a pass over them takes

The control group changes its leader every few seconds, and no item of any job runs any more.

Cause: a job was bounded by its bodies and expected outputs alone, 8 bytes for each of these items. A pass over all open items is one callback; it took 110 ms for 20,000 and grew with them, beyond the election time of 600 ms for all six jobs. The leader sends no heartbeats meanwhile.

Ruled out: the disk and the peers; no slow write in the log.

Change: job_items (50,000) bounds the open items of all jobs, and large jobs may take up half of it, so that smaller ones are still accepted. Beyond it: 503 with Retry-After, or 413 for a job that can never fit. Of the waiting items of one job 2,048 are considered in a pass, and items of a kind that no engine can take are passed over at once. Items count with 1 KiB besides bodies, header fields and outputs.

Left: the first pass over a new job and plans under overload still walk all open items.

--- a/src/apricotvale/daemons/fleet_control.py
+++ b/src/apricotvale/daemons/fleet_control.py
@@ -45,7 +45,8 @@
 from apricotvale.fleet.state import FleetState
 from apricotvale.jobs import Job
 from apricotvale.jobs.admission import spread
-from apricotvale.jobs.store import expected_bytes
+from apricotvale.jobs.room import JobSize
+from apricotvale.jobs.store import size_of
 from apricotvale.limits.permits import PermitIssuer
 from apricotvale.outcomes import Refusal
 from apricotvale.requests.calls import UpstreamClient
@@ -66,7 +67,6 @@
 PURGE_INTERVAL_S = 5.0
 # Jobs stay readable for this long beyond the retention period of the settings.
 RETENTION_MARGIN_S = 30.0
-BYTES_PER_MIB = 1024 * 1024
 TRANSFER_WAIT_S = 1.0
 # Replicas join a new group, or replace one that was lost, within this time.
 GROUP_SETTLE_S = 15.0
@@ -399,7 +399,9 @@
                 return Redirect(self.replica.leader_address())
             return calls.NotOwner()
         if not known and job.job_id not in self.proposed_jobs and not self.has_room(job):
-            return calls.JobsFull()
+            # The bytes include an estimate of the outputs, which turns no job away for good.
+            can_fit = self.settings.job_limits.fits(JobSize(len(job.items), 0))
+            return calls.JobsFull() if can_fit else calls.JobTooLarge()
         if not known and job.job_id not in self.proposed_jobs and self.may_refuse_jobs():
             retry_after_s = self.runner.refuse(job, clock.now())
             if retry_after_s is not None:
@@ -431,12 +433,18 @@
         """
         if self.replica.node.term_start_index > self.replica.node.applied_index:
             return True
-        held = self.state.jobs.held_bytes()
-        needed = expected_bytes(job.items)
-        metrics.JOB_BYTES.set(held)
-        if held + needed <= self.settings.job_mb * BYTES_PER_MIB:
+        held, needed = self.state.jobs.held_size(), size_of(job)
+        metrics.JOB_BYTES.set(held.size_bytes)
+        if self.settings.job_limits.fits(needed, held):
             return True
-        events.emit(events.JOB_REJECTED, job=job.job_id, held_bytes=held, needed_bytes=needed)
+        events.emit(
+            events.JOB_REJECTED,
+            job=job.job_id,
+            held_bytes=held.size_bytes,
+            needed_bytes=needed.size_bytes,
+            held_items=held.items,
+            needed_items=needed.items,
+        )
         return False
 
     def is_denied(
--- a/src/apricotvale/daemons/job_runner.py
+++ b/src/apricotvale/daemons/job_runner.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from functools import partial
+from itertools import islice
 
 from attrs import evolve
 
@@ -59,6 +60,9 @@
 INITIAL_SECONDS_PER_TOKEN = 0.001
 # Runs younger than this are not worth moving.
 MOVE_MIN_AGE_S = 0.3
+# Items of one job among which those that start next are chosen. A choice among all items of larger
+# jobs would hold up the leader.
+MAX_WAITING_PER_JOB = 2_048
 # Maximum number of runs that move to one engine in each pass over all runs.
 MAX_MOVES_PER_ENGINE = 2
 MOVE_INTERVAL_S = 0.1
@@ -147,7 +151,8 @@
     def find_waiting(self, records: list[JobRecord], now: float) -> list[WaitingItem]:
         """Return the items of open jobs that wait for an engine, in the order of their starts.
 
-        Without overload of a job's services the items go by least slack over all jobs.
+        Without overload of a job's services the items go by least slack over all jobs, but of a
+        job with very many items only the first ones that wait.
         """
         self.capacity.update(records, self.table, now)
         seconds_per_token = self.seconds_per_token()
@@ -166,11 +171,12 @@
             route = self.table.match(job.host, job.path) if self.table else None
             if route is None or self.capacity.is_planned(job.job_id):
                 continue
-            items = [
+            unfinished = (
                 item
                 for item in self.state.jobs.unfinished_items(record)
                 if (job.job_id, item.item_id) not in self.runs
-            ]
+            )
+            items = list(islice(unfinished, MAX_WAITING_PER_JOB))
             if items:
                 due_at = self.seen_at[job.job_id] + route.job_deadline_ms / 1000
                 waiting += waiting_items(job, items, route, due_at, seconds_per_token)
@@ -195,6 +201,9 @@
         for candidate in waiting:
             job, item, route = candidate.job, candidate.item, candidate.route
             key = (job.job_id, item.item_id)
+            any_origin = (route.name, job.model, job.min_version, None)
+            if refused.get(any_origin) == 0 and not self.has_output(job, item):
+                continue
             demand = demand_of(job, item)
             engine = None
             for origin in self.origins_to_try(route, job, item, now):
@@ -304,6 +313,12 @@
         progress = record.progress.get(item.item_id) if record else None
         return progress if progress is not None and progress.origin is not None else None
 
+    def has_output(self, job: Job, item: Item) -> bool:
+        """Return whether an earlier run of an item may have left output."""
+        record = self.state.jobs.state.records.get(job.job_id)
+        is_saved = record is not None and item.item_id in record.progress
+        return is_saved or (job.job_id, item.item_id) in self.waiting
+
     def create_run(self, job: Job, item: Item) -> ItemRun:
         """Create the run of an item, with the output that an earlier leader saved."""
         run = ItemRun(job, item, Transcript(self.version_field, output_limit(item)))
--- a/src/apricotvale/fleet/calls.py
+++ b/src/apricotvale/fleet/calls.py
@@ -266,6 +266,11 @@
     why: str
 
 
+@frozen
+class JobTooLarge:
+    """The job was rejected and will not run: it has more items than any job may have."""
+
+
 @frozen
 class JobsFull:
     """The job was rejected and will not run: the jobs held leave no room for it."""
@@ -402,6 +407,7 @@
     | NotFound
     | HeartbeatRejected
     | JobsFull
+    | JobTooLarge
     | NotOwner
     | JobRefused
     | TooFewLeft
--- a/src/apricotvale/jobs/store.py
+++ b/src/apricotvale/jobs/store.py
@@ -7,10 +7,13 @@
 from attrs import define, evolve, field
 
 from apricotvale import clock
+from apricotvale.jobs.room import JobSize
 from apricotvale.jobs.types import Item, Job, Progress, Result, join_events
 
 # Estimate for the output of an item that is not finished.
 OUTPUT_BYTES_PER_TOKEN = 8
+# Estimate for an item and its result, besides bodies, header fields and outputs.
+ITEM_OVERHEAD_BYTES = 1024
 
 
 @define
@@ -139,13 +142,16 @@
         self.applied_at.pop(job_id, None)
         return self.state.records.pop(job_id, None) is not None
 
-    def held_bytes(self) -> int:
-        """Return the bytes that the jobs occupy, with those that their open items will add."""
-        return sum(
-            expected_bytes(self.unfinished_items(record) if not record.ended else ())
-            + sum(len(result.output) for result in record.results)
-            for record in self.state.records.values()
-        )
+    def held_size(self) -> JobSize:
+        """Return what the jobs occupy, with what their open items will add."""
+        items = size_bytes = 0
+        for record in self.state.records.values():
+            open_items = [] if record.ended else self.unfinished_items(record)
+            items += len(open_items)
+            size_bytes += expected_bytes(open_items)
+            size_bytes += ITEM_OVERHEAD_BYTES * (len(record.job.items) - len(open_items))
+            size_bytes += sum(len(result.output) for result in record.results)
+        return JobSize(items, size_bytes)
 
     def open_records(self) -> list[JobRecord]:
         """Return the jobs that still have items to run, oldest first."""
@@ -176,8 +182,15 @@
 def expected_bytes(items: Iterable[Item]) -> int:
     """Return the bytes that unfinished items occupy, with those of their expected outputs."""
     return sum(
-        len(item.body)
+        ITEM_OVERHEAD_BYTES
+        + len(item.body)
         + (len(item.reward.body) if item.reward else 0)
+        + sum(len(name) + len(value) for name, value in item.headers.items())
         + (item.expected_tokens or item.tokens) * OUTPUT_BYTES_PER_TOKEN
         for item in items
     )
+
+
+def size_of(job: Job) -> JobSize:
+    """Return what a job will occupy."""
+    return JobSize(len(job.items), expected_bytes(job.items))
--- a/src/apricotvale/platform/requests.py
+++ b/src/apricotvale/platform/requests.py
@@ -206,6 +206,9 @@
             return refusal_response(
                 not_run(Reason.OVERLOADED, detail, JOBS_FULL_RETRY_S), request_id
             )
+        if isinstance(reply, calls.JobTooLarge):
+            detail = "the job has more items than a job may have"
+            return refusal_response(not_run(Reason.BODY_TOO_LARGE, detail), request_id)
         if isinstance(reply, calls.JobRefused):
             detail = "no group of the job can be complete in time"
             return refusal_response(
--- a/src/apricotvale/settings/fleet.py
+++ b/src/apricotvale/settings/fleet.py
@@ -8,10 +8,12 @@
 from attrs import frozen
 
 from apricotvale.exceptions import SettingsError
+from apricotvale.jobs.room import JobLimits
 from apricotvale.mechanisms import Mechanism
 from apricotvale.settings.checker import Checker, Problem, option
 
 METERING_DUTY = "metering"
+BYTES_PER_MIB = 1024 * 1024
 
 
 @frozen(kw_only=True)
@@ -47,6 +49,12 @@
         64,
         least=1,
     )
+    job_items: int = option(
+        "items without a result in all jobs of a control group; a job beyond it is rejected, and a "
+        "job with more than an eighth of it beyond its half",
+        50_000,
+        least=8,
+    )
     memory_mb: float = option(
         "memory of the process's VM in MiB, of which it holds at most an eighth in heads of "
         "requests, and an entry at most a quarter in their bodies and answers; 0 if unknown, for "
@@ -79,6 +87,11 @@
     )
     log_level: str = option("DEBUG, INFO, WARNING or ERROR", "INFO")
 
+    @property
+    def job_limits(self) -> JobLimits:
+        """Return the limits on the jobs that the control group holds."""
+        return JobLimits(self.job_items, self.job_mb * BYTES_PER_MIB)
+
     @property
     def internal_address(self) -> str:
         """Return the address at which other processes reach this one, as host:port."""
