Tell the end of the time for a request from other time-outs

Read in the diff, not seen: a time limit that fires up to a millisecond early would have been taken for an error of the handler, and answered 500 by the product's own entry; and any other TimeoutError of the forwarder would have been taken for the stop of the entry.

Change: InFlight.limit raises OutOfTimeError for its own end alone. And a connection whose parser fails on bytes before others that belong to no request fails its answer before it is closed.

--- a/src/apricotvale/daemons/entry.py
+++ b/src/apricotvale/daemons/entry.py
@@ -22,7 +22,7 @@
 from apricotvale.daemons.crash_guard import CrashGuard
 from apricotvale.daemons.dispatch import Dispatcher, MemberAnswer
 from apricotvale.daemons.http_server import HttpServer
-from apricotvale.daemons.in_flight import InFlight
+from apricotvale.daemons.in_flight import InFlight, OutOfTimeError
 from apricotvale.daemons.link import ControlClient, ControlLink
 from apricotvale.daemons.runtime import TaskGroup, health_routes, wait_until_stopped
 from apricotvale.daemons.steps import StepRunner
@@ -289,9 +289,7 @@
         try:
             async with self.in_flight.limit():
                 return await handler(request)
-        except TimeoutError:
-            if clock.now() < self.in_flight.answer_by:
-                raise
+        except OutOfTimeError:
             events.emit(events.CANCELLED, request=request[REQUEST_ID], why=STOPPING_DETAIL)
             if not request.get(IS_ANSWERED):
                 return self.refuse(request, unknown(Reason.OUTCOME_UNKNOWN, STOPPING_DETAIL))
--- a/src/apricotvale/daemons/fleet_entry.py
+++ b/src/apricotvale/daemons/fleet_entry.py
@@ -15,7 +15,7 @@
 from apricotvale.daemons.crash_guard import CrashGuard
 from apricotvale.daemons.fleet_link import FleetLink
 from apricotvale.daemons.forwarder import Forwarder
-from apricotvale.daemons.in_flight import STOP_MARGIN_S, InFlight
+from apricotvale.daemons.in_flight import STOP_MARGIN_S, InFlight, OutOfTimeError
 from apricotvale.daemons.leader_client import ATTEMPT_TIMEOUT_S
 from apricotvale.daemons.leaving import LeavingReporter
 from apricotvale.daemons.limit_reporter import LimitReporter
@@ -183,7 +183,7 @@
         try:
             async with self.in_flight.limit():
                 return await self.forwarder.forward(route, call, request)
-        except TimeoutError:
+        except OutOfTimeError:
             return stopped_result(request)
 
     @asynccontextmanager
@@ -204,7 +204,7 @@
                     try:
                         async with self.in_flight.limit():
                             result = await stack.enter_async_context(opening)
-                    except TimeoutError:
+                    except OutOfTimeError:
                         result = stopped_result(request)
                     if isinstance(result, RelayedStream):
                         metrics.FIRST_EVENT_SECONDS.observe(clock.now() - arrived)
@@ -250,7 +250,7 @@
         try:
             async with self.in_flight.limit():
                 reply = await self.link.call(request, deadline, ATTEMPT_TIMEOUT_S + wait_s)
-        except TimeoutError:
+        except OutOfTimeError:
             reply = unknown(Reason.DRAINING, STOPPING_DETAIL)
         if isinstance(reply, Refusal):
             events.emit(
--- a/src/apricotvale/daemons/in_flight.py
+++ b/src/apricotvale/daemons/in_flight.py
@@ -16,6 +16,10 @@
 STOP_MARGIN_S = 0.7
 
 
+class OutOfTimeError(TimeoutError):
+    """The time for the work on a request is over."""
+
+
 @define(eq=False)
 class InFlight:
     """The requests in flight in a process.
@@ -70,16 +74,21 @@
         """Limit the time of work on a request.
 
         :param deadline: when the work ends at the latest, on `clock.now`.
-        :raises TimeoutError: at the deadline, or when a stopping process has to answer.
+        :raises OutOfTimeError: at the deadline, or when a stopping process has to answer.
         """
         latest = min(deadline, self.answer_by)
-        at = None if math.isinf(latest) else loop_time(latest)
-        async with asyncio.timeout_at(at) as timeout:
-            self.timeouts.add(timeout)
-            try:
-                yield
-            finally:
-                self.timeouts.discard(timeout)
+        timeout = asyncio.timeout_at(None if math.isinf(latest) else loop_time(latest))
+        try:
+            async with timeout:
+                self.timeouts.add(timeout)
+                try:
+                    yield
+                finally:
+                    self.timeouts.discard(timeout)
+        except TimeoutError as error:
+            if not timeout.expired():
+                raise
+            raise OutOfTimeError from error
 
 
 def loop_time(at: float) -> float:
--- a/src/apricotvale/http_client.py
+++ b/src/apricotvale/http_client.py
@@ -69,19 +69,18 @@
         except AnswerSyntaxError as error:
             self.reject(str(error))
             return
-        if size == len(data):
-            super().data_received(data)
-        else:
-            if size and not may_begin_answer(data[size:]):
-                # The body is longer than its stated length.
-                self.reject("bytes behind the end of an answer that begin no other one")
-                return
-            if size:
-                super().data_received(data[:size])
-            self.fail(f"{len(data) - size} bytes that belong to no request")
+        is_longer = size < len(data)
+        if is_longer and size and not may_begin_answer(data[size:]):
+            # The body is longer than its stated length.
+            self.reject("bytes behind the end of an answer that begin no other one")
+            return
+        if size:
+            super().data_received(data[:size])
         if self._exception is not None and not self.is_rejected:
             # aiohttp does not tell the reader of a body that its parser has failed.
             self.reject(f"the parser refused them: {type(self._exception).__name__}")
+        elif is_longer:
+            self.fail(f"{len(data) - size} bytes that belong to no request")
 
     def reject(self, why: str) -> None:
         """Close the connection; the current answer fails, also if its body is being read."""
