--- a/review/13/run.py
+++ b/review/13/run.py
@@ -33,7 +33,10 @@
     for engine in engines:
         await engine.start()
     await asyncio.sleep(1.5)
-    items = [make_item(f"e5b2907c14da6f{n:02}", f"/drafts/{n}/91c4", group=f"g{n // 4}") for n in range(ITEMS)]
+    items = [
+        make_item(f"e5b2907c14da6f{n:02}", f"/drafts/{n}/91c4", group=f"g{n // 4}")
+        for n in range(ITEMS)
+    ]
     batch = {"step": 0, "model": "m0", "min_version": 1, "target_groups": 2, "items": items}
     await deployment.submit("/drafts/7c41e0", "7c41e09b52d6a3f8", batch)
     await asyncio.sleep(0.3)
--- a/review/15/run.py
+++ b/review/15/run.py
@@ -46,7 +46,11 @@
             return await super().run(path, fields, body, writer)
         self.errors += 1
         self.note(f"runs {request_id} {path}, answers 500")
-        lines = ["HTTP/1.1 500 Failed", f"Request-Id: {request_id}", f"Server-Stamp: s.{request_id}"]
+        lines = [
+            "HTTP/1.1 500 Failed",
+            f"Request-Id: {request_id}",
+            f"Server-Stamp: s.{request_id}",
+        ]
         answer = "\r\n".join([*lines, "Content-Length: 6", "", "failed"]).encode()
         writer.write(answer)
         await writer.drain()
