Show the late copy of an answer by a wrong score

The script showed an item that is errored after one answer of 500 and its copy. A replica that sends the copy has sent two such answers, in words, so that the rule could be read otherwise. The new script shows the same fault in a reward call: a group that comes again in the next batch has the ids that it had, and a late copy of the answer to the former reward call is taken for the answer to the new one. A text of version 2 is listed with the score of the text of version 1. The rule MIXED is broken: the call reached its replica before the last event of the text was made.

At fault are answers_request in platform/answers.py, which knows an answer by its id alone, and PlatformClient.call, which sends an id again on a kept channel.

--- a/review/kit3/upstreams.py
+++ b/review/kit3/upstreams.py
@@ -297,7 +297,7 @@
         lines += [f"Request-Id: {request_id}", f"Server-Stamp: {stamp}"]
         lines += [f"Weight-Versions: {version}", *self.framing(), "", ""]
         writer.write("\r\n".join(lines).encode())
-        for number in range(start, self.events + 1):
+        for number in range(start, self.length_of(request_id) + 1):
             await asyncio.sleep(self.event_s)
             while self.is_loading:
                 await asyncio.sleep(0.01)
@@ -315,6 +315,10 @@
         self.finished.add(request_id)
         return await self.finish(writer)
 
+    def length_of(self, request_id):
+        """Return the number of events of a run."""
+        return self.events
+
     def framing(self):
         return ["Transfer-Encoding: chunked"]
 
