End the processes of a case also when the script is told to stop

A script that was ended by SIGTERM, or whose output was closed, left its processes behind. It now ends them first, and handles the signal.

--- a/review/kit3/deployment.py
+++ b/review/kit3/deployment.py
@@ -381,6 +381,8 @@
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     code = 2
+    # The processes are ended then too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         deployment = Deployment(record, entries)
     except Exception:
@@ -407,6 +409,6 @@
         deployment.note(f"could not run: {error!r}")
         traceback.print_exc()
     finally:
-        print(f"exit {code}; see {os.path.basename(os.path.dirname(record))}/record.txt")
         deployment.close(keep=bool(os.environ.get("KEEP")))
+    print(f"exit {code}; see {os.path.basename(os.path.dirname(record))}/record.txt")
     sys.exit(code)
