--- a/review/12/run.py
+++ b/review/12/run.py
@@ -85,8 +85,8 @@
     ]
     await deployment.put_config(make_config(1, routes, engines=["lm-pool"], services=["queue-app"]))
     await deployment.wait_ready()
-    engines = [Engine(deployment, f"i-{n}", "lm-pool", EVENTS, EVENT_S) for n in range(6)]
-    desk = PlainService(deployment, "d-0", "queue-app", 0.02, capacity=40)
+    engines = [Engine(deployment, f"i-{n}", "lm-pool", EVENTS, EVENT_S) for n in range(5)]
+    desk = PlainService(deployment, "d-0", "queue-app", 0.02)
     for upstream in [*engines, desk]:
         await upstream.start()
     await asyncio.sleep(1.5)
